--- /dev/null
+++ b/Makefile
@@ -0,0 +1,61 @@
+# Short names for the usual work; CMake does the building.
+BUILD ?= build
+PACKAGES = libboost1.81-dev libgrpc++-dev protobuf-compiler-grpc prometheus-cpp-dev libspdlog-dev \
+  doctest-dev nlohmann-json3-dev libxxhash-dev librapidcheck-dev spin libssl-dev ninja-build cmake \
+  g++ gcc clang-format clang-tidy ccache curl python3 pkg-config
+
+.PHONY: build install-packages demo test unit scenarios model explore process bench capacity asan \
+  tsan format check-format tidy
+
+# Installs only what is missing, so that it is safe to repeat and needs no network then.
+install-packages:
+	@missing=$$(for p in $(PACKAGES); do dpkg -s $$p >/dev/null 2>&1 || echo $$p; done); \
+	if [ -n "$$missing" ]; then echo "installing:" $$missing; \
+	  apt-get update -qq && apt-get install -y -qq $$missing >/dev/null; fi
+
+build: install-packages
+	@cmake -G Ninja -B $(BUILD) -DCMAKE_CXX_COMPILER_LAUNCHER=ccache $(CMAKE_FLAGS) >/dev/null
+	@cmake --build $(BUILD)
+
+demo: build
+	@BUILD=$(BUILD) tools/demo.sh
+
+test: build
+	@BUILD=$(BUILD) tools/test.sh
+
+unit: build
+	@BUILD=$(BUILD) tools/unit.sh
+
+scenarios: build
+	@$(BUILD)/tests/scenarios tests/scenarios/*.scn
+
+model:
+	@tools/model.sh
+
+# Random schedules for SECONDS, with printed seeds.
+explore: build
+	@$(BUILD)/tests/explore --seconds $(or $(SECONDS),60)
+
+process: build
+	@BUILD=$(BUILD) tools/process.sh
+
+bench: build
+	@$(BUILD)/tests/bench
+
+capacity: build
+	@$(BUILD)/tests/capacity
+
+asan:
+	@$(MAKE) --no-print-directory unit BUILD=build-asan CMAKE_FLAGS=-DVANILLALOFT_ASAN=ON
+
+tsan:
+	@$(MAKE) --no-print-directory unit BUILD=build-tsan CMAKE_FLAGS=-DVANILLALOFT_TSAN=ON
+
+format:
+	@git ls-files '*.cc' '*.h' | grep -v /gen/ | xargs clang-format -i
+
+check-format:
+	@git ls-files '*.cc' '*.h' | grep -v /gen/ | xargs clang-format --dry-run --Werror
+
+tidy: build
+	@git ls-files 'src/*.cc' | grep -v /gen/ | xargs -P 8 -n 1 clang-tidy -p $(BUILD) --quiet
--- /dev/null
+++ b/src/base/event.h
@@ -0,0 +1,66 @@
+// Numbered log events. docs/EVENTS.md holds the same catalogue; a test keeps the two
+// equal.
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+#include <spdlog/spdlog.h>
+
+namespace vanillaloft::base {
+
+enum class Event : std::uint16_t
+{
+  Started = 1001,
+  SettingRefused = 1002,
+  Stopping = 1003,
+  Stopped = 1004,
+  Ready = 1005,
+  ConfigurationInForce = 2001,
+  ConfigurationRefused = 2002,
+  ConfigurationOlderIgnored = 2003,
+  StoreUnavailable = 2101,
+  StoreAvailable = 2102,
+  ShareHeld = 3001,
+  ShareLapsed = 3002,
+  ShareReleased = 3003,
+  ShareReclaimed = 3004,
+  PeerLost = 4001,
+  PeerFound = 4002,
+  BackendServerState = 5001,
+  ConnectionClosed = 5002,
+  RunbookStep = 6001,
+  RunbookWaits = 6002,
+  RunbookEnded = 6003,
+};
+
+// One row of the event catalogue.
+struct EventRow
+{
+  Event mEvent;
+  std::string_view mName;
+  std::string_view mMeaning;
+};
+
+std::span<const EventRow> EventRows();
+
+const EventRow& Row(Event aEvent);
+
+// Writes one event as "event=NUMBER name=NAME ..." so that log tools can select by
+// number.
+template<typename... Args>
+void Log(spdlog::level::level_enum aLevel,
+         Event aEvent,
+         fmt::format_string<Args...> aFormat,
+         Args&&... aArgs)
+{
+  const EventRow& row = Row(aEvent);
+  spdlog::log(aLevel,
+              "event={} name={} {}",
+              static_cast<unsigned>(aEvent),
+              row.mName,
+              fmt::format(aFormat, std::forward<Args>(aArgs)...));
+}
+
+} // namespace vanillaloft::base
--- /dev/null
+++ b/src/base/result.h
@@ -0,0 +1,88 @@
+// Numbered result codes of requests. docs/RESULTS.md holds the same table; a test keeps
+// the two equal.
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+namespace vanillaloft::base {
+
+// Whether the request reached execution on a backend server.
+enum class Ran : std::uint8_t
+{
+  No,
+  Yes,
+  Unknown
+};
+
+enum class Result : std::uint16_t
+{
+  Ok = 0,
+  MalformedRequest = 101,
+  HeadTooLarge = 102,
+  BodyTooLarge = 103,
+  BodyIncomplete = 104,
+  RequestTimeout = 105,
+  ConflictingLength = 106,
+  KeyMissing = 201,
+  KeyUnknown = 202,
+  KeysUnconfirmed = 203,
+  UnknownRoute = 301,
+  MethodNotAllowed = 302,
+  RateExceeded = 401,
+  QueueFull = 402,
+  QueueTimeout = 403,
+  NoBackendServer = 404,
+  NotReady = 405,
+  BackendServerShed = 406,
+  DeadlineBeforeStart = 407,
+  NotConnected = 408,
+  TicketMissing = 501,
+  TicketInvalid = 502,
+  TicketExpired = 503,
+  TicketBodyDiffers = 504,
+  TicketsFull = 505,
+  OrderInProgress = 506,
+  OutcomeUnknown = 507,
+  AnswerNotKept = 508,
+  AnswerTimeout = 601,
+  AnswerLost = 602,
+};
+
+// One row of the table of result codes.
+struct ResultRow
+{
+  Result mCode;
+  std::string_view mName;
+  unsigned mStatus; // HTTP status towards the caller
+  Ran mRan;
+  std::string_view mMeaning;
+};
+
+std::span<const ResultRow> ResultRows();
+
+// Finds the row of a code; throws std::out_of_range for a number that is not in the
+// table.
+const ResultRow& Row(Result aCode);
+
+std::string_view Name(Ran aRan);
+
+// Ends the processing of a request with a result code.
+class RequestError : public std::runtime_error
+{
+public:
+  explicit RequestError(Result aCode)
+    : std::runtime_error(std::string(Row(aCode).mName))
+    , mCode(aCode)
+  {
+  }
+  Result Code() const { return mCode; }
+
+private:
+  Result mCode;
+};
+
+} // namespace vanillaloft::base
--- /dev/null
+++ b/src/daemon/loops.cc
@@ -0,0 +1,317 @@
+#include "daemon/loops.h"
+
+#include <algorithm>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace vanillaloft::daemon {
+
+namespace asio = boost::asio;
+using base::Event;
+using base::Log;
+
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(100);
+constexpr Duration kProbeInterval = std::chrono::milliseconds(500);
+constexpr std::chrono::milliseconds kWatchWait{ 2000 };
+constexpr Duration kStorePause = std::chrono::milliseconds(500); // after a failed call
+constexpr Duration kNotWatching = std::chrono::milliseconds(300);
+constexpr Duration kMemberRead =
+  std::chrono::seconds(15); // of shares held by another instance
+constexpr Duration kConflictPause = std::chrono::milliseconds(50);
+constexpr Duration kInstancesInterval = std::chrono::seconds(10);
+constexpr int kGiveBackTries = 5;
+
+} // namespace
+
+void Loops::Start()
+{
+  asio::co_spawn(mCore.mContext, Tick(), asio::detached);
+  asio::co_spawn(mCore.mContext, Beats(), asio::detached);
+  asio::co_spawn(mCore.mContext, Probes(), asio::detached);
+  asio::co_spawn(mCore.mContext, WatchConfig(), asio::detached);
+  asio::co_spawn(mCore.mContext, RenewShares(), asio::detached);
+  asio::co_spawn(mCore.mContext, ReadInstances(), asio::detached);
+}
+
+Awaitable<void> Loops::Sleep(Duration aTime)
+{
+  asio::steady_timer timer(mCore.mContext, aTime);
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+void Loops::NoteStore(bool aAvailable)
+{
+  if (aAvailable != mCore.mStoreAvailable) {
+    mCore.mStoreAvailable = aAvailable;
+    Log(spdlog::level::warn,
+        aAvailable ? Event::StoreAvailable : Event::StoreUnavailable,
+        "");
+  }
+}
+
+Awaitable<void> Loops::Tick()
+{
+  for (;;) {
+    if (mCore.Config()) {
+      mCore.mSteer.Beat(mCore.mMembers, mCore.mLeaving, mCore.Now());
+      mLookUps.Rebuild();
+      mAdmission.ServeWaiters();
+    }
+    co_await Sleep(kTick);
+  }
+}
+
+void Loops::BeatAll()
+{
+  for (const std::string& address : mCore.mMembers.Neighbours()) {
+    if (mBeating.insert(address).second) {
+      asio::co_spawn(mCore.mContext, BeatOne(address), asio::detached);
+    }
+  }
+}
+
+Awaitable<void> Loops::BeatOne(std::string aAddress)
+{
+  co_await mRelay.Beat(aAddress);
+  mBeating.erase(aAddress);
+}
+
+Awaitable<void> Loops::Beats()
+{
+  for (;;) {
+    BeatAll();
+    co_await Sleep(decide::kBeatInterval);
+  }
+}
+
+Awaitable<void> Loops::ProbeOne(std::string aServer, base::HostPort aAddress)
+{
+  decide::ServerState state = co_await mBackend.Probe(aAddress);
+  const auto& servers = mCore.Config()->mBackendServers;
+  auto found = std::ranges::find(servers, aServer, &decide::BackendServer::mName);
+  if (found != servers.end()) {
+    auto index = static_cast<std::size_t>(found - servers.begin());
+    mCore.mSteer.Report(decide::BackendServerId(index), state, mCore.Now());
+  }
+}
+
+Awaitable<void> Loops::Probes()
+{
+  for (;;) {
+    for (std::size_t i = 0; mCore.Config() && i < mCore.mSteer.Views().size(); ++i) {
+      if (mCore.mSteer.Views()[i]->mOwned) {
+        const decide::BackendServer& server = mCore.Config()->mBackendServers[i];
+        base::HostPort address{ server.mHost, server.mPort };
+        asio::co_spawn(mCore.mContext, ProbeOne(server.mName, address), asio::detached);
+      }
+    }
+    co_await Sleep(kProbeInterval);
+  }
+}
+
+// A store that came back with an older revision is repaired: the revision in force is
+// written back, so that the next change starts from it.
+Awaitable<void> Loops::TakeConfig(store::Value aValue)
+{
+  if (aValue.mVersion == 0 && !mCore.Config()) {
+    co_return;
+  }
+  decide::Offer offer = decide::Offer::Older;
+  try {
+    if (aValue.mVersion != 0) {
+      offer = mCore.Accept(decide::ParseConfig(aValue.mText));
+    }
+  } catch (const decide::ConfigError& error) {
+    Log(spdlog::level::err,
+        Event::ConfigurationRefused,
+        "from=store cause={}",
+        error.what());
+    co_return;
+  }
+  bool current = offer == decide::Offer::Accepted || offer == decide::Offer::Known;
+  if (current) {
+    mCore.Confirm(Duration::zero());
+    co_return;
+  }
+  Log(spdlog::level::warn,
+      Event::ConfigurationOlderIgnored,
+      "from=store in_force={}",
+      mCore.Config()->mRevision);
+  if (offer == decide::Offer::Older) {
+    co_await mStore.CompareAndSwap(
+      std::string(kConfigKey), aValue.mVersion, mCore.Config()->mText);
+  }
+}
+
+// One instance of each data centre watches the store; the others get changes from it.
+Awaitable<void> Loops::WatchConfig()
+{
+  for (;;) {
+    bool watches = !mCore.Config() || mCore.mMembers.IsFirstInDataCentre(mCore.Now());
+    if (!watches) {
+      co_await Sleep(kNotWatching);
+      continue;
+    }
+    bool failed = false;
+    try {
+      store::Value value =
+        co_await mStore.Watch(std::string(kConfigKey), mConfigVersion, kWatchWait);
+      NoteStore(true);
+      mConfigVersion = value.mVersion;
+      co_await TakeConfig(std::move(value));
+    } catch (const store::StoreError&) {
+      failed = true;
+    }
+    if (failed) {
+      NoteStore(false);
+      co_await Sleep(kStorePause);
+    } else if (mConfigVersion == 0) {
+      co_await Sleep(kStorePause); // nothing to wait for behind an absent key
+    }
+  }
+}
+
+Awaitable<bool> Loops::RenewOnce()
+{
+  decide::ShareHolder& shares = mCore.mShares;
+  std::string key(decide::ShareDocument::kKey);
+  store::Value value = co_await mStore.Read(key);
+  decide::ShareDocument document;
+  if (value.mVersion != 0) {
+    document = decide::ShareDocument::Parse(value.mText);
+  }
+  shares.Observe(document, mCore.Now());
+  auto planned = shares.Plan(mCore.Now());
+  if (!planned) {
+    co_return true;
+  }
+  bool held = shares.IsHolder();
+  std::optional<bool> swapped;
+  try {
+    swapped = co_await mStore.CompareAndSwap(key, value.mVersion, planned->Text());
+  } catch (const store::StoreError&) {
+    shares.Unknown();
+    throw;
+  }
+  if (*swapped) {
+    shares.Committed(mCore.Now());
+  } else {
+    shares.Conflicted();
+  }
+  if (!held && shares.IsHolder()) {
+    Log(spdlog::level::info,
+        Event::ShareHeld,
+        "data_centre={}",
+        mCore.mSettings.mDataCentre);
+  }
+  co_return *swapped;
+}
+
+Awaitable<void> Loops::RenewShares()
+{
+  bool hadPool = false;
+  while (!mCore.mStopped) {
+    Duration pause = kConflictPause;
+    if (mCore.Config()) {
+      try {
+        bool done = co_await RenewOnce();
+        Duration regular =
+          mCore.mShares.IsHolder() ? decide::kRenewInterval : kMemberRead;
+        pause = done ? regular : kConflictPause;
+      } catch (const std::exception& error) {
+        spdlog::debug("shares not renewed: {}", error.what());
+        pause = kStorePause;
+      }
+    }
+    bool hasPool = mCore.mShares.HoldsPool(mCore.Now());
+    if (hadPool && !hasPool) {
+      Log(spdlog::level::warn,
+          Event::ShareLapsed,
+          "data_centre={}",
+          mCore.mSettings.mDataCentre);
+    }
+    hadPool = hasPool;
+    co_await Sleep(pause);
+  }
+}
+
+Awaitable<void> Loops::GiveSharesBack()
+{
+  std::string key(decide::ShareDocument::kKey);
+  for (int i = 0; i < kGiveBackTries; ++i) {
+    try {
+      store::Value value = co_await mStore.Read(key);
+      if (value.mVersion == 0) {
+        co_return;
+      }
+      mCore.mShares.Observe(decide::ShareDocument::Parse(value.mText), mCore.Now());
+      auto without = mCore.mShares.Leave(mCore.Now());
+      if (!without ||
+          co_await mStore.CompareAndSwap(key, value.mVersion, without->Text())) {
+        Log(spdlog::level::info, Event::ShareReleased, "");
+        co_return;
+      }
+    } catch (const std::exception& error) {
+      spdlog::debug("shares not given back: {}", error.what());
+    }
+  }
+}
+
+Awaitable<void> Loops::ReadInstances()
+{
+  for (;;) {
+    if (mCore.mMembers.IsFirstInDataCentre(mCore.Now())) {
+      try {
+        for (const store::ListedInstance& listed : co_await mStore.Instances()) {
+          mCore.mMembers.AddAddress(listed.mAddress, listed.mDataCentre);
+        }
+      } catch (const store::StoreError&) {
+        // Peers and seeds remain; the list only adds addresses.
+      }
+    }
+    co_await Sleep(kInstancesInterval);
+  }
+}
+
+Duration Loops::LongestLookUpLife() const
+{
+  Duration longest{};
+  for (std::size_t i = 0; mCore.Config() && i < mCore.Config()->mProfiles.size(); ++i) {
+    longest = std::max(longest, mCore.Config()->mProfiles[i].mLookUpLife);
+  }
+  return longest;
+}
+
+Awaitable<void> Loops::Stop()
+{
+  Log(spdlog::level::info, Event::Stopping, "");
+  mCore.mLeaving = true;
+  mLookUps.Rebuild();
+  BeatAll();
+  Instant latest = mCore.Now() + mCore.mSettings.mStopTimeout;
+  // Peers answer look-ups with this instance until they hear from it that it leaves.
+  Instant cached = mCore.Now() + LongestLookUpLife() + decide::kMemberTimeout;
+  auto busy = [&] {
+    return mCore.Now() < cached || mCore.mLedger.HasUnexpired(mCore.Now()) ||
+           mCore.mRunning > 0;
+  };
+  while (busy() && mCore.Now() < latest) {
+    co_await Sleep(kTick);
+  }
+  co_await GiveSharesBack();
+  mCore.mStopped = true;
+  mBeating.clear();
+  BeatAll();
+  while (mCore.mRunning > 0 && mCore.Now() < latest) {
+    co_await Sleep(kTick);
+  }
+  co_await Sleep(kTick);
+  Log(spdlog::level::info, Event::Stopped, "");
+}
+
+} // namespace vanillaloft::daemon
--- /dev/null
+++ b/src/decide/member.cc
@@ -0,0 +1,138 @@
+#include "decide/member.h"
+
+#include <algorithm>
+#include <set>
+
+#include <xxhash.h>
+
+namespace vanillaloft::decide {
+
+namespace {
+
+// Instances of another data centre that get heartbeats from one instance.
+constexpr std::size_t kContactsPerDataCentre = 2;
+
+std::uint64_t Score(const std::string& aBackendServer, const std::string& aAddress)
+{
+  std::string both = aBackendServer + '|' + aAddress;
+  return XXH64(both.data(), both.size(), 0);
+}
+
+} // namespace
+
+void Members::AddAddress(const std::string& aAddress, const std::string& aDataCentre)
+{
+  if (aAddress != mSelfAddress) {
+    mAddresses.emplace(aAddress, aDataCentre);
+  }
+}
+
+bool Members::Heard(const MemberStatus& aStatus, Instant aNow)
+{
+  const std::string& address = aStatus.mSelf.mAddress;
+  if (address == mSelfAddress) {
+    return false;
+  }
+  mAddresses[address] = aStatus.mDataCentre;
+  bool news = !Alive(address, aNow) || mMembers[address].mStatus.mSelf != aStatus.mSelf;
+  mMembers[address] = { aStatus, aNow };
+  return news;
+}
+
+void Members::Left(const std::string& aAddress)
+{
+  mMembers.erase(aAddress);
+}
+
+const Member* Members::Find(const std::string& aAddress) const
+{
+  auto found = mMembers.find(aAddress);
+  return found == mMembers.end() ? nullptr : &found->second;
+}
+
+bool Members::Alive(const std::string& aAddress, Instant aNow) const
+{
+  const Member* member = Find(aAddress);
+  return member && aNow - member->mHeard < kMemberTimeout;
+}
+
+std::vector<const Member*> Members::Living(Instant aNow) const
+{
+  std::vector<const Member*> living;
+  for (const auto& [address, member] : mMembers) {
+    if (aNow - member.mHeard < kMemberTimeout) {
+      living.push_back(&member);
+    }
+  }
+  return living;
+}
+
+std::vector<std::string> Members::Neighbours() const
+{
+  std::map<std::string, std::vector<std::string>> byCentre;
+  byCentre[mDataCentre];
+  for (const auto& [address, dataCentre] : mAddresses) {
+    byCentre[dataCentre].push_back(address);
+  }
+  std::vector<std::string> ring;
+  for (const auto& [dataCentre, addresses] : byCentre) {
+    ring.push_back(dataCentre);
+  }
+  auto self =
+    static_cast<std::size_t>(std::ranges::find(ring, mDataCentre) - ring.begin());
+  std::vector<std::string> neighbours = byCentre[mDataCentre];
+  for (std::size_t distance = 1; distance < ring.size(); distance *= 2) {
+    const auto& contacts = byCentre[ring[(self + distance) % ring.size()]];
+    std::size_t first = contacts.empty() ? 0 : Score(mSelfAddress, "") % contacts.size();
+    for (std::size_t i = 0; i < std::min(kContactsPerDataCentre, contacts.size()); ++i) {
+      neighbours.push_back(contacts[(first + i) % contacts.size()]);
+    }
+  }
+  return neighbours;
+}
+
+bool Members::HearsEveryDataCentre(Instant aNow) const
+{
+  std::set<std::string> known;
+  std::set<std::string> heard{ mDataCentre };
+  for (const auto& [address, dataCentre] : mAddresses) {
+    known.insert(dataCentre);
+    if (Alive(address, aNow)) {
+      heard.insert(dataCentre);
+    }
+  }
+  return std::ranges::includes(heard, known);
+}
+
+bool Members::IsFirstInDataCentre(Instant aNow) const
+{
+  return std::ranges::none_of(Living(aNow), [&](const Member* aMember) {
+    const MemberStatus& status = aMember->mStatus;
+    return status.mDataCentre == mDataCentre && !status.mLeaving &&
+           status.mSelf.mAddress < mSelfAddress;
+  });
+}
+
+// Leaving instances own only what nobody else of the data centre can: then their backend
+// servers are better served by them than by nobody.
+std::string Members::OwnerOf(const std::string& aBackendServer,
+                             bool aSelfLeaving,
+                             Instant aNow) const
+{
+  std::string owner = mSelfAddress;
+  std::pair best(!aSelfLeaving, Score(aBackendServer, mSelfAddress));
+  for (const Member* member : Living(aNow)) {
+    const MemberStatus& status = member->mStatus;
+    if (status.mDataCentre != mDataCentre || !status.mReady) {
+      continue;
+    }
+    std::pair rank(!status.mLeaving, Score(aBackendServer, status.mSelf.mAddress));
+    if (rank > best) {
+      owner = status.mSelf.mAddress;
+      best = rank;
+    }
+  }
+  return owner;
+}
+
+} // namespace vanillaloft::decide
--- /dev/null
+++ b/src/decide/member.h
@@ -0,0 +1,90 @@
+// What an entry instance knows about the others: who is alive, in which data centre, with
+// which revision and how many free slots. Learnt from heartbeats; the platform's lagging
+// list only adds addresses to try and is never proof of death.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "decide/config.h"
+
+namespace vanillaloft::decide {
+
+constexpr Duration kBeatInterval = std::chrono::milliseconds(300);
+constexpr Duration kMemberTimeout = std::chrono::milliseconds(1500);
+// A process whose own loop stood still for longer was frozen: it can trust nothing it
+// knew.
+constexpr Duration kFreezeLimit = std::chrono::seconds(1);
+
+// What an instance says about itself in each heartbeat.
+struct MemberStatus
+{
+  Incarnation mSelf;
+  std::string mDataCentre;
+  std::string mEntryAddress; // "ip:port" for callers
+  bool mReady = false;
+  bool mLeaving = false;
+  Revision mRevision = 0;
+  std::string mDigest;
+  Duration mConfirmedAge = Duration::max();   // since the store confirmed the revision
+  std::map<std::string, unsigned> mFreeSlots; // by service, for other instances
+};
+
+struct Member
+{
+  MemberStatus mStatus;
+  Instant mHeard{};
+};
+
+class Members
+{
+public:
+  Members(std::string aSelfAddress, std::string aDataCentre)
+    : mSelfAddress(std::move(aSelfAddress))
+    , mDataCentre(std::move(aDataCentre))
+  {
+  }
+
+  // Adds an address to send heartbeats to. Nothing is known about it until it answers.
+  void AddAddress(const std::string& aAddress, const std::string& aDataCentre);
+  // Takes note of a status; aNow is the time at which it arrived. True if the member was
+  // not alive before or is a new incarnation.
+  bool Heard(const MemberStatus& aStatus, Instant aNow);
+  // A member that stopped as planned.
+  void Left(const std::string& aAddress);
+
+  const Member* Find(const std::string& aAddress) const;
+  bool Alive(const std::string& aAddress, Instant aNow) const;
+  // Living members other than this one, in order of address.
+  std::vector<const Member*> Living(Instant aNow) const;
+  // Addresses that get heartbeats: all of the own data centre, and of the others the
+  // members at distances 1, 2, 4, ... in the ring of data centres. So an instance's
+  // heartbeats grow with its data centre and the logarithm of the number of data centres.
+  std::vector<std::string> Neighbours() const;
+  // True if an alive member is known in each data centre that has any known address.
+  bool HearsEveryDataCentre(Instant aNow) const;
+  // The alive instance of this data centre with the lowest address, leaving ones last.
+  bool IsFirstInDataCentre(Instant aNow) const;
+  // The instance that owns a backend server of this data centre: rendezvous hashing over
+  // the living instances, those that stay before those that leave.
+  std::string OwnerOf(const std::string& aBackendServer,
+                      bool aSelfLeaving,
+                      Instant aNow) const;
+
+  bool OwnsBackendServer(const std::string& aName, bool aSelfLeaving, Instant aNow) const
+  {
+    return OwnerOf(aName, aSelfLeaving, aNow) == mSelfAddress;
+  }
+
+  const std::map<std::string, std::string>& Addresses() const { return mAddresses; }
+
+private:
+  std::string mSelfAddress;
+  std::string mDataCentre;
+  std::map<std::string, std::string>
+    mAddresses;                           // address -> data centre, without this one
+  std::map<std::string, Member> mMembers; // by address
+};
+
+} // namespace vanillaloft::decide
--- /dev/null
+++ b/src/decide/ticket.cc
@@ -0,0 +1,195 @@
+#include "decide/ticket.h"
+
+#include <array>
+#include <charconv>
+#include <vector>
+
+#include <fmt/format.h>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+
+namespace vanillaloft::decide {
+
+namespace {
+
+constexpr std::string_view kVersion = "v1";
+constexpr char kSeparator = '~'; // not in addresses, hexadecimal numbers or names
+constexpr std::size_t kFields = 7;
+
+std::vector<std::string_view> Split(std::string_view aText)
+{
+  std::vector<std::string_view> fields;
+  for (std::size_t from = 0; from <= aText.size();) {
+    std::size_t to = std::min(aText.find(kSeparator, from), aText.size());
+    fields.push_back(aText.substr(from, to - from));
+    from = to + 1;
+  }
+  return fields;
+}
+
+template<typename Number>
+bool ReadNumber(std::string_view aText, Number& aNumber, int aRadix)
+{
+  auto [end, error] =
+    std::from_chars(aText.data(), aText.data() + aText.size(), aNumber, aRadix);
+  return error == std::errc() && end == aText.data() + aText.size();
+}
+
+} // namespace
+
+std::optional<Ticket> Ticket::Parse(std::string_view aText)
+{
+  std::vector<std::string_view> fields = Split(aText);
+  if (fields.size() != kFields || fields[0] != kVersion) {
+    return std::nullopt;
+  }
+  Ticket ticket;
+  ticket.mIssuer.mAddress = std::string(fields[1]);
+  ticket.mOrganisation = std::string(fields[4]);
+  Duration::rep expiry = 0;
+  bool ok = ReadNumber(fields[2], ticket.mIssuer.mStart, 16) &&
+            ReadNumber(fields[3], ticket.mSequence, 10) &&
+            ReadNumber(fields[5], expiry, 10);
+  if (!ok) {
+    return std::nullopt;
+  }
+  ticket.mExpiry = Instant(Duration(expiry));
+  return ticket;
+}
+
+Ledger::Ledger(Incarnation aSelf, std::string aSecret, Duration aLife)
+  : mSelf(std::move(aSelf))
+  , mSecret(std::move(aSecret))
+  , mLife(aLife)
+{
+}
+
+std::string Ledger::Sign(std::string_view aText) const
+{
+  std::array<unsigned char, EVP_MAX_MD_SIZE> mac{};
+  unsigned size = 0;
+  HMAC(EVP_sha256(),
+       mSecret.data(),
+       static_cast<int>(mSecret.size()),
+       reinterpret_cast<const unsigned char*>(aText.data()),
+       aText.size(),
+       mac.data(),
+       &size);
+  return Hex({ reinterpret_cast<const char*>(mac.data()), size });
+}
+
+// The place in the ledger is taken at the issue, so a ticket that was given out can
+// always be remembered when it is used.
+std::optional<std::string> Ledger::Issue(std::string_view aOrganisation, Instant aNow)
+{
+  Expire(aNow);
+  if (mEntries.size() >= kMostTickets) {
+    return std::nullopt;
+  }
+  std::uint64_t sequence = mNextSequence++;
+  Instant expiry = aNow + mLife;
+  mEntries.emplace(sequence, Entry());
+  mExpiries.push_back({ expiry, sequence });
+  std::string text = fmt::format("{}~{}~{:x}~{}~{}~{}",
+                                 kVersion,
+                                 mSelf.mAddress,
+                                 mSelf.mStart,
+                                 sequence,
+                                 aOrganisation,
+                                 expiry.time_since_epoch().count());
+  return text + kSeparator + Sign(text);
+}
+
+// The order of the checks matters: only a ticket that this incarnation signed may learn
+// anything about the state of an order, and only its own organisation's. What another
+// incarnation did with its tickets is not known here, so the answer to those is never
+// "not run".
+Admission Ledger::Admit(std::string_view aText,
+                        std::string_view aOrganisation,
+                        std::string_view aRequest,
+                        Instant aNow)
+{
+  Expire(aNow);
+  std::optional<Ticket> ticket = Ticket::Parse(aText);
+  auto refuse = [](base::Result aResult) {
+    return Admission{ Admission::Kind::Refuse, {}, aResult };
+  };
+  if (!ticket || ticket->mOrganisation != aOrganisation) {
+    return refuse(base::Result::TicketInvalid);
+  }
+  if (ticket->mIssuer != mSelf) {
+    return refuse(base::Result::OutcomeUnknown);
+  }
+  std::size_t macAt = aText.rfind(kSeparator);
+  std::string expected = Sign(aText.substr(0, macAt));
+  std::string_view mac = aText.substr(macAt + 1);
+  bool genuine = mac.size() == expected.size() &&
+                 CRYPTO_memcmp(mac.data(), expected.data(), expected.size()) == 0;
+  if (!genuine) {
+    return refuse(base::Result::TicketInvalid);
+  }
+  auto found = mEntries.find(ticket->mSequence);
+  if (found == mEntries.end()) {
+    return refuse(base::Result::TicketExpired);
+  }
+  Entry& entry = found->second;
+  if (!entry.mRequest.empty() && entry.mRequest != aRequest) {
+    return refuse(base::Result::TicketBodyDiffers);
+  }
+  if (entry.mState == State::Issued) {
+    entry.mState = State::Running;
+    entry.mRequest = std::string(aRequest);
+    return { Admission::Kind::Start, {}, {} };
+  }
+  if (entry.mState == State::Running) {
+    return refuse(base::Result::OrderInProgress);
+  }
+  return { Admission::Kind::Repeat, entry.mOutcome, {} };
+}
+
+void Ledger::Finish(std::uint64_t aSequence, Outcome aOutcome)
+{
+  auto found = mEntries.find(aSequence);
+  if (found == mEntries.end()) {
+    return;
+  }
+  bool keeps = aOutcome.mBody.size() <= kLargestKeptAnswer &&
+               mAnswerBytes + aOutcome.mBody.size() <= kMostAnswerBytes;
+  if (!keeps && aOutcome.mResult == base::Result::Ok) {
+    aOutcome = Outcome{ base::Result::AnswerNotKept, 0, {}, {} };
+  }
+  mAnswerBytes += aOutcome.mBody.size();
+  found->second.mState = State::Done;
+  found->second.mOutcome = std::move(aOutcome);
+}
+
+// The request digest stays: after a release the same ticket may be repeated, but not for
+// another order.
+void Ledger::Release(std::uint64_t aSequence)
+{
+  auto found = mEntries.find(aSequence);
+  if (found != mEntries.end()) {
+    found->second.mState = State::Issued;
+  }
+}
+
+// A forgotten ticket is refused as expired, so forgetting never lets an order run again,
+// also when it is still running.
+void Ledger::Expire(Instant aNow)
+{
+  while (!mExpiries.empty() && mExpiries.front().mAt <= aNow) {
+    auto found = mEntries.find(mExpiries.front().mSequence);
+    mExpiries.pop_front();
+    mAnswerBytes -= found->second.mOutcome.mBody.size();
+    mEntries.erase(found);
+  }
+}
+
+bool Ledger::HasUnexpired(Instant aNow)
+{
+  Expire(aNow);
+  return !mEntries.empty();
+}
+
+} // namespace vanillaloft::decide
--- /dev/null
+++ b/src/decide/ticket.h
@@ -0,0 +1,120 @@
+// Order tickets: at-most-once execution without storage. A ticket names the incarnation
+// that issued it; only that incarnation may start the order, remembers the ticket until
+// it expires and answers repeats with the first outcome. A new incarnation holds another
+// secret and so honours none of its predecessor's tickets.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "base/result.h"
+#include "base/types.h"
+#include "decide/config.h"
+
+namespace vanillaloft::decide {
+
+// The contents of a ticket. Text form:
+// v1~ADDRESS~START~SEQUENCE~ORGANISATION~EXPIRY~MAC
+struct Ticket
+{
+  Incarnation mIssuer;
+  std::uint64_t mSequence = 0;
+  std::string mOrganisation;
+  Instant mExpiry{}; // on the issuer's clock
+
+  // Reads the text without checking who wrote it; nothing if it is not a ticket.
+  static std::optional<Ticket> Parse(std::string_view aText);
+};
+
+// What became of an order, kept for repeats.
+struct Outcome
+{
+  base::Result mResult = base::Result::OutcomeUnknown;
+  unsigned mStatus = 0;     // of the backend server's answer
+  std::string mContentType; // of the backend server's answer
+  std::string mBody;
+};
+
+// What the ledger says to a presented ticket.
+struct Admission
+{
+  enum class Kind : std::uint8_t
+  {
+    Start,  // run the order, then call Finish or Release
+    Repeat, // answer with mOutcome
+    Refuse  // answer with mRefusal
+  };
+  Kind mKind = Kind::Refuse;
+  Outcome mOutcome;
+  base::Result mRefusal = base::Result::TicketInvalid;
+};
+
+// Issues tickets and remembers their use. Memory is bounded by a number of unexpired
+// tickets and a number of bytes of kept answers.
+class Ledger
+{
+public:
+  static constexpr std::size_t kMostTickets = 20'000;
+  static constexpr std::size_t kMostAnswerBytes = 8 * 1024 * 1024;
+  static constexpr std::size_t kLargestKeptAnswer = 64 * 1024;
+
+  // aSecret is random and known to this incarnation only.
+  Ledger(Incarnation aSelf, std::string aSecret, Duration aLife);
+
+  // Issues a ticket; nothing if as many as may be remembered are unexpired.
+  std::optional<std::string> Issue(std::string_view aOrganisation, Instant aNow);
+
+  // Decides on a presented ticket. With Kind::Start the use is already remembered, before
+  // anything is sent. aRequest is a digest of the route and the body.
+  Admission Admit(std::string_view aText,
+                  std::string_view aOrganisation,
+                  std::string_view aRequest,
+                  Instant aNow);
+
+  // Keeps the outcome of an order that was started.
+  void Finish(std::uint64_t aSequence, Outcome aOutcome);
+
+  // The order that was started certainly did not run; the ticket may be used again.
+  void Release(std::uint64_t aSequence);
+
+  // True while a ticket that was issued has not expired.
+  bool HasUnexpired(Instant aNow);
+  std::size_t Size() const { return mEntries.size(); }
+  std::size_t AnswerBytes() const { return mAnswerBytes; }
+
+private:
+  enum class State : std::uint8_t
+  {
+    Issued,
+    Running,
+    Done
+  };
+  struct Entry
+  {
+    State mState = State::Issued;
+    std::string mRequest;
+    Outcome mOutcome;
+  };
+  struct Expiry
+  {
+    Instant mAt{};
+    std::uint64_t mSequence = 0;
+  };
+
+  std::string Sign(std::string_view aText) const;
+  void Expire(Instant aNow);
+
+  Incarnation mSelf;
+  std::string mSecret;
+  Duration mLife;
+  std::uint64_t mNextSequence = 1;
+  std::unordered_map<std::uint64_t, Entry> mEntries;
+  std::deque<Expiry> mExpiries; // in order of time
+  std::size_t mAnswerBytes = 0;
+};
+
+} // namespace vanillaloft::decide
--- /dev/null
+++ b/src/entry/admission.cc
@@ -0,0 +1,143 @@
+#include "entry/admission.h"
+
+#include <algorithm>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace vanillaloft::entry {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t kMostAsks = 3; // holders asked in one round
+constexpr Duration kAskPause = std::chrono::milliseconds(20);
+constexpr Duration kShortestWait = std::chrono::milliseconds(2);
+constexpr Duration kLongestWait = std::chrono::milliseconds(20);
+constexpr std::chrono::milliseconds kAskTimeout{ 60 };
+
+Awaitable<void> Sleep(asio::io_context& aContext, Duration aTime)
+{
+  asio::steady_timer timer(aContext, aTime);
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+} // namespace
+
+// A token that arrives after its life is lost: its holder has refilled meanwhile.
+Awaitable<bool> Admission::AskHolders(decide::BudgetId aBudget,
+                                      decide::MicroTokens aAmount,
+                                      bool aFirst)
+{
+  const decide::Budget& budget = mCore.Config()->mBudgets[aBudget.At()];
+  Duration life = decide::Divide(budget.mTotal).mTokenLife;
+  peer::wire::TokenRequest request;
+  request.set_budget(decide::BudgetKey(budget));
+  request.set_micro_tokens(static_cast<std::uint64_t>(aAmount));
+  request.set_data_centre(mCore.mSettings.mDataCentre);
+  request.set_first_ask(aFirst);
+  std::vector<std::string> givers = mCore.mShares.Givers(aBudget);
+  givers.resize(std::min(givers.size(), kMostAsks));
+  for (const std::string& giver : givers) {
+    Instant asked = mCore.Now();
+    try {
+      auto reply = co_await mCore.mPeers.AskToken(giver, request, kAskTimeout);
+      if (reply.given() && mCore.Now() - asked <= life) {
+        co_return true;
+      }
+    } catch (const peer::PeerError&) {
+      continue; // another holder may be reachable
+    }
+  }
+  co_return false;
+}
+
+Awaitable<bool> Admission::TakeTokens(decide::BudgetId aBudget,
+                                      decide::MicroTokens aAmount,
+                                      Instant aUntil)
+{
+  decide::ConfigPtr config = mCore.Config();
+  std::string key = decide::BudgetKey(config->mBudgets[aBudget.At()]);
+  mCore.mShares.CountDemand(aBudget, aAmount, mCore.Now());
+  for (bool first = true;; first = false) {
+    if (config != mCore.Config()) {
+      co_return false; // the budget may be another one now
+    }
+    if (mCore.mShares.Spend(aBudget, aAmount, mCore.Now())) {
+      co_return true;
+    }
+    if (mCore.Now() >= mNoAskUntil[key]) {
+      if (co_await AskHolders(aBudget, aAmount, first)) {
+        co_return true;
+      }
+      mNoAskUntil[key] = mCore.Now() + kAskPause;
+    }
+    if (config != mCore.Config()) {
+      co_return false;
+    }
+    Duration wait = mCore.mShares.TimeUntil(aBudget, aAmount, mCore.Now());
+    wait = std::clamp(wait, kShortestWait, kLongestWait);
+    if (mCore.Now() + wait > aUntil) {
+      co_return false;
+    }
+    co_await Sleep(mCore.mContext, wait);
+  }
+}
+
+std::optional<decide::Slot> Admission::TakeSlot(decide::ServiceId aService,
+                                                decide::Origin aOrigin)
+{
+  const std::string& service = mCore.Config()->mServices[aService.At()].mName;
+  if (mQueues[service].Size() > 0) {
+    return std::nullopt;
+  }
+  return mCore.mSteer.Acquire(aService, aOrigin, mCore.Now());
+}
+
+Awaitable<std::optional<decide::Slot>> Admission::WaitForSlot(
+  decide::ServiceId aService,
+  decide::OrganisationId aOrganisation,
+  Instant aUntil)
+{
+  decide::FairQueue& queue = mQueues[mCore.Config()->mServices[aService.At()].mName];
+  Waiter waiter{ asio::steady_timer(mCore.mContext, aUntil - mCore.Now()), std::nullopt };
+  decide::WaiterId id = mNextWaiter++;
+  if (!queue.Push(aOrganisation, id)) {
+    throw base::RequestError(Result::QueueFull);
+  }
+  mWaiters[id] = &waiter;
+  ServeWaiters();
+  if (!waiter.mSlot) {
+    boost::system::error_code cancelled;
+    co_await waiter.mTimer.async_wait(
+      asio::redirect_error(asio::use_awaitable, cancelled));
+  }
+  mWaiters.erase(id);
+  queue.Remove(aOrganisation, id);
+  co_return waiter.mSlot;
+}
+
+void Admission::Release(const decide::Slot& aSlot, decide::Ending aEnding)
+{
+  decide::Steer::Release(aSlot, aEnding, mCore.Now());
+  ServeWaiters();
+}
+
+void Admission::ServeWaiters()
+{
+  for (auto& [service, queue] : mQueues) {
+    decide::ServiceId id = mCore.Config()->FindService(service);
+    while (queue.Size() > 0 && !id.IsNone()) {
+      auto slot = mCore.mSteer.Acquire(id, decide::Origin::Local, mCore.Now());
+      if (!slot) {
+        break;
+      }
+      Waiter* waiter = mWaiters.at(*queue.Pop());
+      waiter->mSlot = std::move(slot);
+      waiter->mTimer.cancel();
+    }
+  }
+}
+
+} // namespace vanillaloft::entry
--- /dev/null
+++ b/src/entry/core.cc
@@ -0,0 +1,134 @@
+#include "entry/core.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace vanillaloft::entry {
+
+namespace {
+
+const prometheus::Histogram::BucketBoundaries kLatencySeconds = {
+  0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2
+};
+
+struct GaugeRow
+{
+  const char* mName;
+  const char* mHelp;
+};
+
+constexpr GaugeRow kGauges[] = {
+  { "vanillaloft_revision", "Revision of the configuration in force." },
+  { "vanillaloft_peers_alive", "Peers that answer heartbeats." },
+  { "vanillaloft_store_available", "1 while the platform's store answers." },
+  { "vanillaloft_share_holder", "1 while this instance holds its data centre's shares." },
+  { "vanillaloft_pool_held", "1 while the pool share is held." },
+  { "vanillaloft_orders_remembered", "Order tickets that have not expired." },
+  { "vanillaloft_requests_running", "Requests being served." },
+};
+
+} // namespace
+
+Metrics::Metrics()
+  : mRegistry(std::make_shared<prometheus::Registry>())
+  , mRequests(prometheus::BuildCounter()
+                .Name("vanillaloft_requests_total")
+                .Help("Requests by service and numbered result.")
+                .Register(*mRegistry))
+  , mLatency(prometheus::BuildHistogram()
+               .Name("vanillaloft_request_seconds")
+               .Help("Time from arrival to answer by service.")
+               .Register(*mRegistry))
+{
+  for (const GaugeRow& row : kGauges) {
+    auto& family =
+      prometheus::BuildGauge().Name(row.mName).Help(row.mHelp).Register(*mRegistry);
+    mGauges[row.mName] = &family.Add({});
+  }
+}
+
+void Metrics::CountRequest(const std::string& aService, Result aResult, Duration aLatency)
+{
+  std::string result = std::to_string(static_cast<unsigned>(aResult));
+  mRequests.Add({ { "service", aService }, { "result", result } }).Increment();
+  mLatency.Add({ { "service", aService } }, kLatencySeconds)
+    .Observe(std::chrono::duration<double>(aLatency).count());
+}
+
+std::string Metrics::Text() const
+{
+  return prometheus::TextSerializer().Serialize(mRegistry->Collect());
+}
+
+Core::Core(boost::asio::io_context& aContext,
+           const base::Clock& aClock,
+           InstanceSettings aSettings,
+           base::Incarnation aSelf,
+           std::string aSecret)
+  : mContext(aContext)
+  , mClock(aClock)
+  , mSettings(std::move(aSettings))
+  , mMembers(aSelf.mAddress, mSettings.mDataCentre)
+  , mSteer(mSettings.mDataCentre)
+  , mShares(aSelf, mSettings.mDataCentre)
+  , mLedger(aSelf, std::move(aSecret), mSettings.mTicketLife)
+  , mPeers(aContext)
+  , mSelf(aSelf)
+{
+}
+
+decide::Offer Core::Accept(decide::ConfigPtr aConfig)
+{
+  bool first = !Config();
+  decide::Offer offer = mAcceptor.Accept(std::move(aConfig));
+  if (offer != decide::Offer::Accepted) {
+    return offer;
+  }
+  mSteer.SetConfig(Config(), Now());
+  mShares.SetConfig(Config(), Now());
+  mMetrics.Gauge("vanillaloft_revision").Set(double(Config()->mRevision));
+  base::Log(spdlog::level::info,
+            base::Event::ConfigurationInForce,
+            "revision={} digest={}",
+            Config()->mRevision,
+            Config()->mDigest);
+  if (first) {
+    base::Log(
+      spdlog::level::info, base::Event::Ready, "data_centre={}", mSettings.mDataCentre);
+  }
+  return offer;
+}
+
+void Core::Confirm(Duration aAge)
+{
+  mConfirmedAt = std::max(mConfirmedAt, Now() - aAge);
+}
+
+Duration Core::ConfirmedAge() const
+{
+  return mConfirmedAt == Instant() ? Duration::max() : Now() - mConfirmedAt;
+}
+
+// An instance that hears every data centre and finds none with the store knows that
+// nobody can have written a withdrawal; one that is cut off from some does not.
+bool Core::KeysUnconfirmed() const
+{
+  return ConfirmedAge() > kConfirmationLife && !mMembers.HearsEveryDataCentre(Now());
+}
+
+decide::MemberStatus Core::Status() const
+{
+  decide::MemberStatus status;
+  status.mSelf = mSelf;
+  status.mDataCentre = mSettings.mDataCentre;
+  status.mEntryAddress =
+    mSettings.mListen.mHost + ":" + std::to_string(mSettings.mListen.mPort);
+  status.mReady = IsReady();
+  status.mLeaving = mLeaving;
+  status.mRevision = Config() ? Config()->mRevision : 0;
+  status.mDigest = Config() ? Config()->mDigest : "";
+  status.mConfirmedAge = ConfirmedAge();
+  status.mFreeSlots = mSteer.FreeSlotsByService(Now());
+  return status;
+}
+
+} // namespace vanillaloft::entry
--- /dev/null
+++ b/src/entry/core.h
@@ -0,0 +1,115 @@
+// The state of one entry instance: the decision objects, all used on one thread, and the
+// counters that operators see.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include "base/clock.h"
+#include "base/event.h"
+#include "base/result.h"
+#include "base/settings.h"
+#include "decide/accept.h"
+#include "decide/member.h"
+#include "decide/share.h"
+#include "decide/steer.h"
+#include "decide/ticket.h"
+#include "peer/peer.h"
+
+namespace vanillaloft::entry {
+
+using base::Duration;
+using base::Instant;
+using base::Result;
+template<typename T>
+using Awaitable = boost::asio::awaitable<T>;
+
+// Without confirmation for longer, withdrawals may have been missed.
+constexpr Duration kConfirmationLife = std::chrono::seconds(3);
+
+// Settings of one instance, checked at its start.
+struct InstanceSettings
+{
+  std::string mDataCentre;
+  base::HostPort mListen;   // for callers
+  std::string mPeerAddress; // "ip:port" for peers
+  base::HostPort mStore;
+  std::string mSeeds; // "address@data-centre" separated by commas
+  Duration mTicketLife{};
+  Duration mRequestTimeout{}; // for the arrival of a whole request
+  Duration mStopTimeout{};    // longest planned stop
+};
+
+// Prometheus metrics of one instance.
+class Metrics
+{
+public:
+  Metrics();
+  // Counts a request by service and result and observes its latency.
+  void CountRequest(const std::string& aService, Result aResult, Duration aLatency);
+  prometheus::Gauge& Gauge(const std::string& aName) { return *mGauges.at(aName); }
+  std::string Text() const;
+
+private:
+  std::shared_ptr<prometheus::Registry> mRegistry;
+  prometheus::Family<prometheus::Counter>& mRequests;
+  prometheus::Family<prometheus::Histogram>& mLatency;
+  std::map<std::string, prometheus::Gauge*> mGauges;
+};
+
+class Core
+{
+public:
+  Core(boost::asio::io_context& aContext,
+       const base::Clock& aClock,
+       InstanceSettings aSettings,
+       base::Incarnation aSelf,
+       std::string aSecret);
+
+  Instant Now() const { return mClock.Now(); }
+  const decide::ConfigPtr& Config() const { return mAcceptor.Current(); }
+  const base::Incarnation& Self() const { return mSelf; }
+
+  // Puts a configuration in force everywhere in the instance if it is newer.
+  decide::Offer Accept(decide::ConfigPtr aConfig);
+  // Notes that the store, or a peer that asked it aAge ago, confirmed the revision in
+  // force.
+  void Confirm(Duration aAge);
+  // Time since the last confirmation; Duration::max() if there was none.
+  Duration ConfirmedAge() const;
+  // True while a withdrawal may have been accepted without reaching this instance.
+  bool KeysUnconfirmed() const;
+  // True once requests can be served.
+  bool IsReady() const { return Config() != nullptr && !mStopped; }
+
+  decide::MemberStatus Status() const;
+
+  boost::asio::io_context& mContext;
+  const base::Clock& mClock;
+  InstanceSettings mSettings;
+  decide::Members mMembers;
+  decide::Steer mSteer;
+  decide::ShareHolder mShares;
+  decide::Ledger mLedger;
+  peer::Client mPeers;
+  Metrics mMetrics;
+  bool mLeaving = false; // not named by look-ups, still serving
+  bool mStopped = false; // takes no new requests
+  bool mStoreAvailable = false;
+  unsigned mRunning = 0; // requests being served
+
+private:
+  base::Incarnation mSelf;
+  decide::Acceptor mAcceptor;
+  Instant mConfirmedAt{};
+};
+
+} // namespace vanillaloft::entry
--- /dev/null
+++ b/src/entry/dump.cc
@@ -0,0 +1,102 @@
+#include "entry/dump.h"
+
+#include <nlohmann/json.hpp>
+
+namespace vanillaloft::entry {
+
+using nlohmann::json;
+
+namespace {
+
+json Milliseconds(Duration aTime)
+{
+  if (aTime == Duration::max()) {
+    return nullptr;
+  }
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
+}
+
+json StatusJson(const decide::MemberStatus& aStatus)
+{
+  return { { "address", aStatus.mSelf.mAddress },
+           { "data_centre", aStatus.mDataCentre },
+           { "entry_address", aStatus.mEntryAddress },
+           { "ready", aStatus.mReady },
+           { "leaving", aStatus.mLeaving },
+           { "revision", aStatus.mRevision },
+           { "digest", aStatus.mDigest },
+           { "confirmed_age_ms", Milliseconds(aStatus.mConfirmedAge) },
+           { "free_slots", aStatus.mFreeSlots } };
+}
+
+json BackendServersJson(const Core& aCore)
+{
+  constexpr std::array kStates = { "unknown", "serving", "draining", "down" };
+  json servers = json::array();
+  const auto& views = aCore.mSteer.Views();
+  for (std::size_t i = 0; i < views.size(); ++i) {
+    const decide::BackendServer& server = aCore.Config()->mBackendServers[i];
+    if (server.mDataCentre == aCore.mSteer.OwnDataCentre()) {
+      servers.push_back(
+        { { "name", server.mName },
+          { "owned", views[i]->mOwned },
+          { "state", kStates.at(static_cast<std::size_t>(views[i]->mState)) },
+          { "drained", server.mDrained },
+          { "slots", server.mSlots },
+          { "in_flight", views[i]->mInFlight } });
+    }
+  }
+  return servers;
+}
+
+json BudgetsJson(const Core& aCore)
+{
+  json budgets = json::array();
+  for (std::size_t i = 0; i < aCore.Config()->mBudgets.size(); ++i) {
+    const decide::Budget& budget = aCore.Config()->mBudgets[i];
+    decide::Rate held = aCore.mShares.InForce(decide::BudgetId(i), aCore.Now());
+    budgets.push_back(
+      { { "name", decide::BudgetKey(budget) },
+        { "total_per_s", double(budget.mTotal.mPerSecond) / decide::kToken },
+        { "held_per_s", double(held.mPerSecond) / decide::kToken },
+        { "held_burst", double(held.mBurst) / decide::kToken } });
+  }
+  return budgets;
+}
+
+} // namespace
+
+std::string DumpState(const Core& aCore)
+{
+  json state = StatusJson(aCore.Status());
+  Instant now = aCore.Now();
+  state["store_available"] = aCore.mStoreAvailable;
+  state["share_holder"] = aCore.mShares.IsHolder();
+  state["pool_held"] = aCore.mShares.HoldsPool(now);
+  state["floor_held"] = aCore.mShares.HoldsFloor(now);
+  state["orders_remembered"] = aCore.mLedger.Size();
+  state["requests_running"] = aCore.mRunning;
+  state["peers"] = json::array();
+  for (const decide::Member* member : aCore.mMembers.Living(now)) {
+    state["peers"].push_back(StatusJson(member->mStatus));
+  }
+  if (aCore.Config()) {
+    state["budgets"] = BudgetsJson(aCore);
+    state["backend_servers"] = BackendServersJson(aCore);
+  }
+  return state.dump(2) + "\n";
+}
+
+void RefreshGauges(Core& aCore)
+{
+  Instant now = aCore.Now();
+  Metrics& metrics = aCore.mMetrics;
+  metrics.Gauge("vanillaloft_peers_alive").Set(double(aCore.mMembers.Living(now).size()));
+  metrics.Gauge("vanillaloft_store_available").Set(aCore.mStoreAvailable ? 1 : 0);
+  metrics.Gauge("vanillaloft_share_holder").Set(aCore.mShares.IsHolder() ? 1 : 0);
+  metrics.Gauge("vanillaloft_pool_held").Set(aCore.mShares.HoldsPool(now) ? 1 : 0);
+  metrics.Gauge("vanillaloft_orders_remembered").Set(double(aCore.mLedger.Size()));
+  metrics.Gauge("vanillaloft_requests_running").Set(double(aCore.mRunning));
+}
+
+} // namespace vanillaloft::entry
--- /dev/null
+++ b/src/entry/lookup.cc
@@ -0,0 +1,81 @@
+#include "entry/lookup.h"
+
+#include <charconv>
+
+#include <arpa/inet.h>
+#include <nlohmann/json.hpp>
+
+namespace vanillaloft::entry {
+
+using base::RequestError;
+using nlohmann::json;
+
+namespace {
+
+constexpr unsigned kMostTicketsInAnswer = 16;
+
+} // namespace
+
+std::string QueryValue(std::string_view aTarget, std::string_view aName)
+{
+  std::size_t from = aTarget.find('?');
+  while (from != std::string_view::npos && from < aTarget.size()) {
+    std::size_t to = std::min(aTarget.find('&', from + 1), aTarget.size());
+    std::string_view pair = aTarget.substr(from + 1, to - from - 1);
+    if (pair.starts_with(aName) && pair.substr(aName.size()).starts_with('=')) {
+      return std::string(pair.substr(aName.size() + 1));
+    }
+    from = to;
+  }
+  return {};
+}
+
+void LookUps::Rebuild()
+{
+  if (mCore.Config()) {
+    mLookUp.Rebuild(mCore.Config(), mCore.mMembers, mCore.Status(), mCore.Now());
+  }
+}
+
+std::string LookUps::Answer(const net::Request& aRequest,
+                            std::uint32_t aClient,
+                            const std::string& aKey)
+{
+  std::string_view target(aRequest.target().data(), aRequest.target().size());
+  decide::OrganisationId organisation = mPipeline.Identify(aKey);
+  decide::ServiceId service = mCore.Config()->FindService(QueryValue(target, "service"));
+  if (service.IsNone()) {
+    throw RequestError(Result::UnknownRoute);
+  }
+  std::string client = QueryValue(target, "client");
+  in_addr address{};
+  if (!client.empty() && inet_pton(AF_INET, client.c_str(), &address) == 1) {
+    aClient = ntohl(address.s_addr);
+  }
+  json answer;
+  answer["instances"] = json::array();
+  for (const decide::Candidate& candidate : mLookUp.Decide(aClient)) {
+    answer["instances"].push_back(
+      { { "address", candidate.mAddress }, { "weight", candidate.mWeight } });
+  }
+  if (answer["instances"].empty()) {
+    throw RequestError(Result::NotReady);
+  }
+  Duration life = mCore.Config()->ProfileOf(service).mLookUpLife;
+  answer["ttl_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(life).count();
+  answer["tickets"] = json::array();
+  std::string wanted = QueryValue(target, "tickets");
+  unsigned count = 0;
+  std::from_chars(wanted.data(), wanted.data() + wanted.size(), count);
+  const std::string& name = mCore.Config()->mOrganisations[organisation.At()].mName;
+  for (unsigned i = 0; i < std::min(count, kMostTicketsInAnswer); ++i) {
+    auto ticket = mCore.mLeaving ? std::nullopt : mCore.mLedger.Issue(name, mCore.Now());
+    if (!ticket) {
+      throw RequestError(mCore.mLeaving ? Result::NotReady : Result::TicketsFull);
+    }
+    answer["tickets"].push_back(*ticket);
+  }
+  return answer.dump();
+}
+
+} // namespace vanillaloft::entry
--- /dev/null
+++ b/src/entry/relay.cc
@@ -0,0 +1,210 @@
+#include "entry/relay.h"
+
+#include <algorithm>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace vanillaloft::entry {
+
+namespace wire = peer::wire;
+
+namespace {
+
+constexpr std::chrono::milliseconds kBeatTimeout{ 1000 };
+constexpr std::chrono::milliseconds kFetchTimeout{ 2000 };
+constexpr std::chrono::milliseconds kUnknownRetry{ 0 };
+
+wire::Status ToWire(const decide::MemberStatus& aStatus)
+{
+  wire::Status status;
+  status.set_address(aStatus.mSelf.mAddress);
+  status.set_start(aStatus.mSelf.mStart);
+  status.set_data_centre(aStatus.mDataCentre);
+  status.set_entry_address(aStatus.mEntryAddress);
+  status.set_ready(aStatus.mReady);
+  status.set_leaving(aStatus.mLeaving);
+  status.set_revision(aStatus.mRevision);
+  status.set_digest(aStatus.mDigest);
+  if (aStatus.mConfirmedAge != Duration::max()) {
+    auto age = std::chrono::ceil<std::chrono::milliseconds>(aStatus.mConfirmedAge);
+    status.set_confirmed_age_ms(static_cast<std::uint64_t>(age.count()));
+  }
+  status.mutable_free_slots()->insert(aStatus.mFreeSlots.begin(),
+                                      aStatus.mFreeSlots.end());
+  return status;
+}
+
+decide::MemberStatus FromWire(const wire::Status& aStatus)
+{
+  decide::MemberStatus status;
+  status.mSelf = { aStatus.address(), aStatus.start() };
+  status.mDataCentre = aStatus.data_centre();
+  status.mEntryAddress = aStatus.entry_address();
+  status.mReady = aStatus.ready();
+  status.mLeaving = aStatus.leaving();
+  status.mRevision = aStatus.revision();
+  status.mDigest = aStatus.digest();
+  if (aStatus.has_confirmed_age_ms()) {
+    status.mConfirmedAge = std::chrono::milliseconds(aStatus.confirmed_age_ms());
+  }
+  status.mFreeSlots.insert(aStatus.free_slots().begin(), aStatus.free_slots().end());
+  return status;
+}
+
+} // namespace
+
+template<typename Message>
+void Relay::FillBeat(Message& aMessage) const
+{
+  *aMessage.mutable_status() = ToWire(mCore.Status());
+  for (const auto& [address, dataCentre] : mCore.mMembers.Addresses()) {
+    wire::KnownAddress* known = aMessage.add_known();
+    known->set_address(address);
+    known->set_data_centre(dataCentre);
+  }
+}
+
+// A peer's confirmation counts only while both have the same revision in force.
+template<typename Message>
+bool Relay::TakeBeat(const Message& aMessage)
+{
+  decide::MemberStatus status = FromWire(aMessage.status());
+  if (mCore.mMembers.Heard(status, mCore.Now())) {
+    base::Log(spdlog::level::info,
+              base::Event::PeerFound,
+              "peer={} data_centre={}",
+              status.mSelf.mAddress,
+              status.mDataCentre);
+  }
+  for (const wire::KnownAddress& known : aMessage.known()) {
+    mCore.mMembers.AddAddress(known.address(), known.data_centre());
+  }
+  base::Revision current = mCore.Config() ? mCore.Config()->mRevision : 0;
+  if (status.mRevision == current && status.mConfirmedAge != Duration::max()) {
+    mCore.Confirm(status.mConfirmedAge);
+  }
+  return status.mRevision > current;
+}
+
+Awaitable<void> Relay::FetchConfigFrom(std::string aAddress)
+{
+  if (mFetching) {
+    co_return;
+  }
+  mFetching = true;
+  try {
+    wire::ConfigReply reply =
+      co_await mCore.mPeers.FetchConfig(aAddress, wire::ConfigRequest(), kFetchTimeout);
+    mCore.Accept(decide::ParseConfig(reply.text()));
+  } catch (const peer::PeerError&) {
+    // The next heartbeat tries again.
+  } catch (const decide::ConfigError& error) {
+    base::Log(spdlog::level::err,
+              base::Event::ConfigurationRefused,
+              "from={} cause={}",
+              aAddress,
+              error.what());
+  }
+  mFetching = false;
+}
+
+Awaitable<void> Relay::Beat(std::string aAddress)
+{
+  wire::BeatRequest request;
+  FillBeat(request);
+  bool newer = false;
+  try {
+    wire::BeatReply reply =
+      co_await mCore.mPeers.Beat(aAddress, std::move(request), kBeatTimeout);
+    newer = TakeBeat(reply);
+  } catch (const peer::PeerError&) {
+    co_return; // absence is noticed by the age of the last heartbeat
+  }
+  if (newer) {
+    co_await FetchConfigFrom(aAddress);
+  }
+}
+
+Awaitable<wire::BeatReply> Relay::OnBeat(wire::BeatRequest aRequest)
+{
+  if (TakeBeat(aRequest)) {
+    boost::asio::co_spawn(mCore.mContext,
+                          FetchConfigFrom(aRequest.status().address()),
+                          boost::asio::detached);
+  }
+  wire::BeatReply reply;
+  FillBeat(reply);
+  co_return reply;
+}
+
+Awaitable<wire::ConfigReply> Relay::OnFetchConfig(wire::ConfigRequest)
+{
+  wire::ConfigReply reply;
+  if (mCore.Config()) {
+    reply.set_revision(mCore.Config()->mRevision);
+    reply.set_text(mCore.Config()->mText);
+  }
+  co_return reply;
+}
+
+Awaitable<wire::TokenReply> Relay::OnAskToken(wire::TokenRequest aRequest)
+{
+  wire::TokenReply reply;
+  reply.set_retry_after_ms(static_cast<std::uint64_t>(kUnknownRetry.count()));
+  if (!mCore.Config()) {
+    co_return reply;
+  }
+  const auto& budgets = mCore.Config()->mBudgets;
+  auto found = std::ranges::find_if(budgets, [&](const decide::Budget& aBudget) {
+    return decide::BudgetKey(aBudget) == aRequest.budget();
+  });
+  if (found == budgets.end()) {
+    co_return reply;
+  }
+  decide::BudgetId budget(static_cast<std::size_t>(found - budgets.begin()));
+  auto amount = static_cast<decide::MicroTokens>(aRequest.micro_tokens());
+  if (aRequest.first_ask() && aRequest.data_centre() == mCore.mSettings.mDataCentre) {
+    mCore.mShares.CountDemand(budget, amount, mCore.Now());
+  }
+  reply.set_given(mCore.mShares.Spend(budget, amount, mCore.Now()));
+  co_return reply;
+}
+
+Awaitable<wire::ForwardReply> Relay::OnForward(wire::ForwardRequest aRequest)
+{
+  Exchange exchange;
+  exchange.mRequestId = aRequest.request_id();
+  exchange.mMethod = aRequest.method();
+  exchange.mTarget = aRequest.target();
+  exchange.mContentType = aRequest.content_type();
+  exchange.mBody = std::move(*aRequest.mutable_body());
+  exchange.mTicket = aRequest.ticket();
+  exchange.mOrganisationName = aRequest.organisation();
+  exchange.mArrival = mCore.Now();
+  exchange.mDeadline = mCore.Now() + std::chrono::milliseconds(aRequest.deadline_ms());
+  wire::ForwardReply reply;
+  try {
+    mPipeline.Resolve(exchange);
+    auto ticket = decide::Ticket::Parse(exchange.mTicket);
+    bool issued =
+      aRequest.order() && ticket && ticket->mIssuer.mAddress == mCore.Self().mAddress;
+    bool mate = aRequest.data_centre() == mCore.mSettings.mDataCentre;
+    decide::Origin origin = mate ? decide::Origin::Local : decide::Origin::Remote;
+    decide::Outcome outcome;
+    if (issued) {
+      outcome = co_await mPipeline.RunIssued(exchange);
+    } else {
+      outcome = co_await mPipeline.DeliverForPeer(exchange, origin, aRequest.order());
+    }
+    reply.set_result(static_cast<std::uint32_t>(outcome.mResult));
+    reply.set_status(outcome.mStatus);
+    reply.set_content_type(outcome.mContentType);
+    reply.set_body(std::move(outcome.mBody));
+  } catch (const base::RequestError& error) {
+    reply.set_result(static_cast<std::uint32_t>(error.Code()));
+  }
+  co_return reply;
+}
+
+} // namespace vanillaloft::entry
--- /dev/null
+++ b/src/entry/relay.h
@@ -0,0 +1,44 @@
+// What an instance does with its peers' calls: heartbeats, configuration relay, tokens,
+// forwarded requests.
+#pragma once
+
+#include "entry/core.h"
+#include "entry/pipeline.h"
+
+namespace vanillaloft::entry {
+
+class Relay final : public peer::Handler
+{
+public:
+  Relay(Core& aCore, Pipeline& aPipeline)
+    : mCore(aCore)
+    , mPipeline(aPipeline)
+  {
+  }
+
+  Awaitable<peer::wire::BeatReply> OnBeat(peer::wire::BeatRequest aRequest) override;
+  Awaitable<peer::wire::ConfigReply> OnFetchConfig(
+    peer::wire::ConfigRequest aRequest) override;
+  Awaitable<peer::wire::TokenReply> OnAskToken(
+    peer::wire::TokenRequest aRequest) override;
+  Awaitable<peer::wire::ForwardReply> OnForward(
+    peer::wire::ForwardRequest aRequest) override;
+
+  // Sends one heartbeat and takes note of the answer.
+  Awaitable<void> Beat(std::string aAddress);
+
+private:
+  template<typename Message>
+  void FillBeat(Message& aMessage) const;
+  // Takes note of a peer's status and of the addresses that it knows. True if the peer
+  // has a newer configuration.
+  template<typename Message>
+  bool TakeBeat(const Message& aMessage);
+  Awaitable<void> FetchConfigFrom(std::string aAddress);
+
+  Core& mCore;
+  Pipeline& mPipeline;
+  bool mFetching = false;
+};
+
+} // namespace vanillaloft::entry
--- /dev/null
+++ b/src/net/http.h
@@ -0,0 +1,77 @@
+// HTTP/1.1 client calls over Beast, for the platform's store and for backend servers.
+#pragma once
+
+#include <chrono>
+#include <memory>
+#include <stdexcept>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include "base/settings.h"
+
+namespace vanillaloft::net {
+
+using Request = boost::beast::http::request<boost::beast::http::string_body>;
+using Response = boost::beast::http::response<boost::beast::http::string_body>;
+
+template<typename T>
+using Awaitable = boost::asio::awaitable<T>;
+
+constexpr unsigned kHttp11 = 11;
+constexpr std::size_t kLargestAnswer = 4 * 1024 * 1024; // bytes
+
+// How far a call came before it failed.
+enum class Stage : std::uint8_t
+{
+  Connect, // nothing was written
+  Sent     // the peer may have received the request
+};
+
+class CallError : public std::runtime_error
+{
+public:
+  CallError(Stage aStage, bool aTimedOut, const std::string& aCause)
+    : std::runtime_error(aCause)
+    , mStage(aStage)
+    , mTimedOut(aTimedOut)
+  {
+  }
+  Stage At() const { return mStage; }
+  bool TimedOut() const { return mTimedOut; }
+
+private:
+  Stage mStage;
+  bool mTimedOut;
+};
+
+// One client connection. A call that fails leaves it unusable: a late answer must never
+// be taken for the answer to a later request.
+class Connection
+{
+public:
+  explicit Connection(const boost::asio::any_io_executor& aExecutor);
+
+  // Throws CallError at Stage::Connect.
+  Awaitable<void> Connect(base::HostPort aTo, std::chrono::milliseconds aTimeout);
+  // Sends a request and reads the whole answer; throws CallError at Stage::Sent.
+  Awaitable<Response> Call(const Request& aRequest, std::chrono::milliseconds aTimeout);
+  // False once the peer has closed or sent something that was not asked for.
+  bool IsIdle();
+
+private:
+  boost::beast::tcp_stream mStream;
+  boost::beast::flat_buffer mBuffer;
+  bool mKeepsAlive = false;
+};
+
+// One call on a connection of its own; throws CallError.
+Awaitable<Response> CallOnce(base::HostPort aTo,
+                             Request aRequest,
+                             std::chrono::milliseconds aTimeout);
+
+} // namespace vanillaloft::net
--- /dev/null
+++ b/src/store/http.cc
@@ -0,0 +1,95 @@
+#include "store/http.h"
+
+#include <charconv>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace vanillaloft::store {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr const char* kVersionHeader = "X-Consul-Index";
+
+Value ToValue(const net::Response& aResponse)
+{
+  if (aResponse.result() == http::status::not_found) {
+    return {};
+  }
+  if (aResponse.result() != http::status::ok) {
+    throw StoreError(fmt::format("the store answered {}", aResponse.result_int()));
+  }
+  Value value;
+  auto header = aResponse[kVersionHeader];
+  auto [end, error] =
+    std::from_chars(header.data(), header.data() + header.size(), value.mVersion);
+  if (error != std::errc() || value.mVersion == 0) {
+    throw StoreError("the store's answer lacks a version");
+  }
+  value.mText = aResponse.body();
+  return value;
+}
+
+} // namespace
+
+Awaitable<net::Response> HttpStore::Call(net::Request aRequest,
+                                         std::chrono::milliseconds aTimeout)
+{
+  try {
+    co_return co_await net::CallOnce(mAt, std::move(aRequest), aTimeout);
+  } catch (const net::CallError& error) {
+    throw StoreError(error.what());
+  }
+}
+
+Awaitable<Value> HttpStore::Read(std::string aKey)
+{
+  net::Request request(http::verb::get, fmt::format("/v1/kv/{}?raw", aKey), net::kHttp11);
+  co_return ToValue(co_await Call(std::move(request), mTimeout));
+}
+
+Awaitable<Value> HttpStore::Watch(std::string aKey,
+                                  std::uint64_t aVersion,
+                                  std::chrono::milliseconds aWait)
+{
+  std::string target =
+    fmt::format("/v1/kv/{}?raw&index={}&wait={}ms", aKey, aVersion, aWait.count());
+  net::Request request(http::verb::get, target, net::kHttp11);
+  co_return ToValue(co_await Call(std::move(request), aWait + mTimeout));
+}
+
+Awaitable<bool> HttpStore::CompareAndSwap(std::string aKey,
+                                          std::uint64_t aVersion,
+                                          std::string aText)
+{
+  std::string target = fmt::format("/v1/kv/{}?cas={}", aKey, aVersion);
+  net::Request request(http::verb::put, target, net::kHttp11);
+  request.body() = std::move(aText);
+  net::Response response = co_await Call(std::move(request), mTimeout);
+  if (response.result() != http::status::ok) {
+    throw StoreError(fmt::format("the store answered {}", response.result_int()));
+  }
+  co_return response.body().starts_with("true");
+}
+
+Awaitable<std::vector<ListedInstance>> HttpStore::Instances()
+{
+  net::Request request(http::verb::get, "/v1/instances", net::kHttp11);
+  net::Response response = co_await Call(std::move(request), mTimeout);
+  std::vector<ListedInstance> instances;
+  try {
+    for (const auto& entry : nlohmann::json::parse(response.body())) {
+      instances.push_back({ entry.at("address").get<std::string>(),
+                            entry.at("data_centre").get<std::string>(),
+                            entry.value("leaving", false) });
+    }
+  } catch (const nlohmann::json::exception& error) {
+    throw StoreError(
+      fmt::format("the list of instances cannot be read: {}", error.what()));
+  }
+  co_return instances;
+}
+
+} // namespace vanillaloft::store
--- /dev/null
+++ b/tests/standins/backend.cc
@@ -0,0 +1,108 @@
+// Stand-in of a backend server: slots, service time, draining, shedding and a log of what
+// it ran, which judges whether an order ran twice and whether a "not run" was true. PUT
+// /fault/MODE: none, shed, drain, undrain, late (answers late), crossed (wrong request
+// id), die-before and die-after (closes without an answer before or after running). GET
+// /log: a line for each request that ran: idempotency key, organisation, target.
+#include <iostream>
+#include <map>
+
+#include "server.h"
+
+namespace {
+
+using namespace vanillaloft;
+using namespace vanillaloft::standins;
+
+constexpr std::chrono::milliseconds kLate{ 5000 };
+
+class BackendStandIn
+{
+public:
+  BackendStandIn(unsigned aSlots, std::chrono::milliseconds aServiceTime)
+    : mSlots(aSlots)
+    , mServiceTime(aServiceTime)
+  {
+  }
+
+  net::Awaitable<net::Response> Handle(const net::Request& aRequest)
+  {
+    std::string target(aRequest.target().data(), aRequest.target().size());
+    if (target.starts_with("/fault/")) {
+      SetFault(target.substr(7));
+      co_return Reply(200, "ok");
+    }
+    if (target == "/load") {
+      co_return Reply(200,
+                      std::string("{\"draining\":") + (mDraining ? "true" : "false") +
+                        ",\"in_flight\":" + std::to_string(mInFlight) + "}");
+    }
+    if (target == "/log") {
+      co_return Reply(200, mLog);
+    }
+    if (target == "/overruns") {
+      co_return Reply(200, std::to_string(mOverruns));
+    }
+    co_return co_await Serve(aRequest, target);
+  }
+
+private:
+  void SetFault(const std::string& aFault)
+  {
+    if (aFault == "drain" || aFault == "undrain") {
+      mDraining = aFault == "drain";
+    } else {
+      mFault = aFault;
+    }
+  }
+
+  net::Awaitable<net::Response> Serve(const net::Request& aRequest, std::string aTarget)
+  {
+    std::string id(aRequest["X-Request-Id"].data(), aRequest["X-Request-Id"].size());
+    bool full = mInFlight >= mSlots;
+    mOverruns += full ? 1 : 0;
+    if (full || mFault == "shed") {
+      net::Response shed = Reply(503, "shed");
+      shed.set("X-Not-Run", "1");
+      co_return shed;
+    }
+    if (aRequest.count(http::field::authorization) > 0) {
+      mLog += "KEY-SEEN\n";
+    }
+    mLog += std::string(aRequest["Idempotency-Key"]) + " " +
+            std::string(aRequest["X-Organisation"]) + " " + aTarget + "\n";
+    ++mInFlight;
+    co_await Sleep(mFault == "late" ? kLate : mServiceTime);
+    --mInFlight;
+    net::Response response = Reply(200,
+                                   "answer to " + aTarget + " of " +
+                                     std::string(aRequest["X-Organisation"]) + "\n");
+    response.set(http::field::content_type, "text/plain");
+    response.set("X-Request-Id", mFault == "crossed" ? "another" : id);
+    if (mDraining) {
+      response.set("X-Draining", "1");
+    }
+    co_return response;
+  }
+
+  unsigned mSlots;
+  std::chrono::milliseconds mServiceTime;
+  unsigned mInFlight = 0;
+  unsigned mOverruns = 0;
+  bool mDraining = false;
+  std::string mFault = "none";
+  std::string mLog;
+};
+
+} // namespace
+
+int main(int aArgc, char** aArgv)
+{
+  if (aArgc != 4) {
+    std::cerr << "usage: backend-standin IP:PORT SLOTS SERVICE-TIME-MS\n";
+    return 2;
+  }
+  std::chrono::milliseconds serviceTime(std::stol(aArgv[3]));
+  BackendStandIn backend(static_cast<unsigned>(std::stoul(aArgv[2])), serviceTime);
+  RunServer(base::ParseHostPort("address", aArgv[1]),
+            [&](const net::Request& aRequest) { return backend.Handle(aRequest); });
+}
