--- a/src/decide/member.cc
+++ b/src/decide/member.cc
@@ -11,6 +11,8 @@
 
 // Instances of another data centre that get heartbeats from one instance.
 constexpr std::size_t kContactsPerDataCentre = 2;
+// Up to this many instances, each sends heartbeats to all.
+constexpr std::size_t kSmallFleet = 32;
 
 std::uint64_t Score(const std::string& aBackendServer, const std::string& aAddress)
 {
@@ -68,6 +70,15 @@
 }
 
 std::vector<std::string> Members::Neighbours() const
+{
+  std::vector<std::string> all;
+  for (const auto& [address, dataCentre] : mAddresses) {
+    all.push_back(address);
+  }
+  return all.size() <= kSmallFleet ? all : RingNeighbours();
+}
+
+std::vector<std::string> Members::RingNeighbours() const
 {
   std::map<std::string, std::vector<std::string>> byCentre;
   byCentre[mDataCentre];
--- a/src/decide/member.h
+++ b/src/decide/member.h
@@ -56,6 +56,11 @@
 
   const Member* Find(const std::string& aAddress) const;
   bool Alive(const std::string& aAddress, Instant aNow) const;
+  // True if the member was heard before and is not any more.
+  bool Gone(const std::string& aAddress, Instant aNow) const
+  {
+    return Find(aAddress) && !Alive(aAddress, aNow);
+  }
   // Living members other than this one, in order of address.
   std::vector<const Member*> Living(Instant aNow) const;
   // Addresses that get heartbeats: all of the own data centre, and of the others the
@@ -80,6 +85,8 @@
   const std::map<std::string, std::string>& Addresses() const { return mAddresses; }
 
 private:
+  std::vector<std::string> RingNeighbours() const;
+
   std::string mSelfAddress;
   std::string mDataCentre;
   std::map<std::string, std::string>
--- a/src/decide/share.cc
+++ b/src/decide/share.cc
@@ -11,6 +11,8 @@
 using nlohmann::json;
 
 constexpr double kDemandSmoothing = 0.5; // weight of the newest interval
+constexpr MicroTokens kHundredths = 100; // demand is recorded in hundredths of a token
+constexpr MicroTokens kLeastBurst = 4 * kToken; // of a part of a pool
 constexpr Duration kDemandInterval = std::chrono::seconds(1);
 // A quarter of the burst at most is set aside for tokens in flight.
 constexpr MicroTokens kLifeShareOfBurst = 4;
@@ -42,6 +44,13 @@
            aDivisible.mBurst - floors.mBurst * centres };
 }
 
+// A holder that may be asked for tokens.
+struct Giver
+{
+  MicroTokens mSpare; // a second, beyond its own demand
+  std::string mAddress;
+};
+
 std::uint64_t ValueOr0(const std::map<std::string, std::uint64_t>& aMap,
                        const std::string& aKey)
 {
@@ -57,17 +66,20 @@
 
 } // namespace
 
-// While a token is under way its bucket refills. Reducing the burst by what refills
-// within the longest life keeps every window within the total.
+// Buckets refill by their holders' clocks, which may be fast, so the rate is reduced by
+// the bound on drift. While a token is under way its bucket refills, so the burst is
+// reduced by what refills within the longest life. Both together keep every window within
+// the total.
 Divisible Divide(Rate aTotal)
 {
-  if (aTotal.mPerSecond <= 0) {
-    return { aTotal, kLongestTokenLife };
+  Rate usable{ aTotal.mPerSecond * 1000 / (1000 + kDriftPerMille), aTotal.mBurst };
+  if (usable.mPerSecond <= 0) {
+    return { usable, kLongestTokenLife };
   }
-  Duration quarter(aTotal.mBurst / kLifeShareOfBurst * 1'000'000 / aTotal.mPerSecond);
+  Duration quarter(usable.mBurst / kLifeShareOfBurst * 1'000'000 / usable.mPerSecond);
   Duration life = std::min(kLongestTokenLife, quarter);
-  MicroTokens inFlight = aTotal.mPerSecond * life.count() / 1'000'000;
-  return { { aTotal.mPerSecond, aTotal.mBurst - inFlight }, life };
+  usable.mBurst -= usable.mPerSecond * life.count() / 1'000'000;
+  return { usable, life };
 }
 
 std::string BudgetKey(const Budget& aBudget)
@@ -241,37 +253,45 @@
   });
 }
 
-// The part of the pool that this data centre is due by its demand. Parts below one token
-// of burst admit nothing, so they go to the data centre with the largest demand.
+// The data centre that holds what the others are not due: the one with the largest
+// demand, but a holder is replaced only by one with clearly more, because a bucket in a
+// new hand is empty.
+const ShareRecord* ShareHolder::TopOf(const ShareDocument& aDocument,
+                                      const std::string& aKey) const
+{
+  auto weight = [&](const ShareRecord& aRecord) {
+    std::uint64_t demand = ValueOr0(aRecord.mDemand, aKey);
+    bool holdsMost = PoolOfRecord(aRecord, aKey) > kWhole / 2;
+    return holdsMost ? 2 * demand + 1 : demand;
+  };
+  auto top = std::ranges::max_element(aDocument.mRecords, {}, weight);
+  return top == aDocument.mRecords.end() ? nullptr : &*top;
+}
+
+// The part of the pool that this data centre is due by its demand. A part with few tokens
+// of burst serves badly, so a small pool stays whole at the data centre with the largest
+// demand.
 PerMille ShareHolder::Want(const ShareDocument& aDocument,
                            const std::string& aKey,
                            Rate aPool) const
 {
+  const ShareRecord* top = TopOf(aDocument, aKey);
   std::uint64_t sum = 0;
-  const ShareRecord* top = nullptr;
   for (const ShareRecord& record : aDocument.mRecords) {
-    std::uint64_t demand = ValueOr0(record.mDemand, aKey);
-    sum += demand;
-    if (!top || demand > ValueOr0(top->mDemand, aKey)) {
-      top = &record;
-    }
-  }
-  if (sum == 0 || !top) {
-    auto even = static_cast<PerMille>(kWhole / mConfig->mDataCentres.size());
-    bool usable = aPool.mBurst * even / kWhole >= kToken;
-    PerMille concentrated = top && top->mHolder == mSelf ? kWhole : 0;
-    return usable ? even : concentrated;
+    sum += ValueOr0(record.mDemand, aKey);
   }
   PerMille given = 0;
   PerMille own = 0;
   for (const ShareRecord& record : aDocument.mRecords) {
-    auto part = static_cast<PerMille>(ValueOr0(record.mDemand, aKey) * kWhole / sum);
-    bool usable = aPool.mBurst * part / kWhole >= kToken;
-    part = usable && &record != top ? part : 0;
-    given += part;
-    own = record.mHolder == mSelf ? part : own;
+    std::uint64_t part = sum == 0 ? kWhole / mConfig->mDataCentres.size()
+                                  : ValueOr0(record.mDemand, aKey) * kWhole / sum;
+    bool useful = aPool.mBurst * static_cast<MicroTokens>(part) / kWhole >= kLeastBurst;
+    part = useful && &record != top ? part : 0;
+    given += static_cast<PerMille>(part);
+    own = record.mHolder == mSelf ? static_cast<PerMille>(part) : own;
   }
-  return top->mHolder == mSelf ? kWhole - given : own;
+  bool isTop = top && top->mHolder == mSelf;
+  return isTop ? kWhole - given : own;
 }
 
 std::map<std::string, std::uint64_t> ShareHolder::MeasuredDemand(Instant aNow)
@@ -288,7 +308,7 @@
   }
   std::map<std::string, std::uint64_t> demand;
   for (std::size_t i = 0; i < mKeys.size(); ++i) {
-    auto hundredths = static_cast<std::uint64_t>(mDemand[i] * 100);
+    auto hundredths = static_cast<std::uint64_t>(mDemand[i] * kHundredths);
     if (hundredths > 0) {
       demand[mKeys[i]] = hundredths;
     }
@@ -446,26 +466,41 @@
   mAsked[aBudget.At()] += aAmount;
 }
 
-std::vector<std::string> ShareHolder::Givers(BudgetId aBudget) const
+// Whoever holds more than its own callers ask for is likely to have tokens left. Among
+// those the turn moves on at each call, so that not all askers empty the same bucket.
+std::vector<std::string> ShareHolder::Givers(BudgetId aBudget)
 {
-  struct Giver
-  {
-    bool mOwnDataCentre;
-    PerMille mPart;
-    std::string mAddress;
-  };
+  const std::string& key = mKeys[aBudget.At()];
+  Rate divisible = Divide(mConfig->mBudgets[aBudget.At()].mTotal).mRate;
   std::vector<Giver> givers;
+  std::vector<std::string> addresses;
   for (const ShareRecord& record : mDocument.mRecords) {
-    if (record.mHolder != mSelf) {
-      PerMille part = PoolOfRecord(record, mKeys[aBudget.At()]);
-      givers.push_back(
-        { record.mDataCentre == mDataCentre, part, record.mHolder.mAddress });
+    Rate floor = record.mFloor ? FloorOf(*mConfig, divisible) : Rate{};
+    Rate held =
+      Sum(floor, Part(PoolOf(*mConfig, divisible), PoolOfRecord(record, key), kWhole));
+    if (record.mHolder == mSelf) {
+      continue;
+    }
+    if (record.mDataCentre == mDataCentre) {
+      addresses.push_back(record.mHolder.mAddress); // counts the demand, too
+      continue;
     }
+    if (held.mBurst < kToken) {
+      continue;
+    }
+    auto demand =
+      static_cast<MicroTokens>(ValueOr0(record.mDemand, key)) * kToken / kHundredths;
+    givers.push_back({ held.mPerSecond - demand, record.mHolder.mAddress });
+  }
+  std::ranges::sort(givers, std::ranges::greater(), &Giver::mSpare);
+  auto spare = static_cast<std::size_t>(
+    std::ranges::count_if(givers, [](const Giver& aGiver) { return aGiver.mSpare > 0; }));
+  if (spare > 1) {
+    auto first = static_cast<std::ptrdiff_t>(mTurn++ % spare);
+    std::rotate(givers.begin(),
+                givers.begin() + first,
+                givers.begin() + static_cast<std::ptrdiff_t>(spare));
   }
-  std::ranges::sort(givers, std::ranges::greater(), [](const Giver& aGiver) {
-    return std::pair(aGiver.mOwnDataCentre, aGiver.mPart);
-  });
-  std::vector<std::string> addresses;
   for (const Giver& giver : givers) {
     addresses.push_back(giver.mAddress);
   }
--- a/src/decide/share.h
+++ b/src/decide/share.h
@@ -26,10 +26,10 @@
 constexpr PerMille kWhole = 1000;
 
 // How long a recorded pool share may be used after the request that recorded it was sent.
-constexpr Duration kPoolTerm = std::chrono::seconds(30);
+constexpr Duration kPoolTerm = std::chrono::seconds(9);
 // How long a recorded floor may be used.
 constexpr Duration kFloorHold = std::chrono::hours(2);
-constexpr Duration kRenewInterval = std::chrono::seconds(5);
+constexpr Duration kRenewInterval = std::chrono::seconds(2);
 // Clocks may run fast or slow by this much.
 constexpr int kDriftPerMille = 10;
 // Longest time from a token's debit at its holder to its use at another instance.
@@ -64,7 +64,7 @@
   std::uint64_t mSequence = 0; // rises with each renewal
   bool mFloor = false;         // holds the floor of its data centre
   std::map<std::string, PerMille> mPool;
-  std::map<std::string, std::uint64_t> mDemand; // tokens asked for in a second
+  std::map<std::string, std::uint64_t> mDemand; // hundredths of a token in a second
 };
 
 struct ShareDocument
@@ -133,9 +133,9 @@
   }
   // The rate and burst that may be used now.
   Rate InForce(BudgetId aBudget, Instant aNow) const { return ShareOf(aBudget, aNow); }
-  // Addresses to ask for tokens: the own data centre's holder first, then by size of
-  // share.
-  std::vector<std::string> Givers(BudgetId aBudget) const;
+  // Addresses to ask for tokens: the own data centre's holder first, then by what they
+  // can spare. share.
+  std::vector<std::string> Givers(BudgetId aBudget);
   const ShareDocument& Document() const { return mDocument; }
   std::uint64_t Reclaimed() const { return mReclaimed; }
 
@@ -154,6 +154,7 @@
   PerMille Want(const ShareDocument& aDocument,
                 const std::string& aKey,
                 Rate aPool) const;
+  const ShareRecord* TopOf(const ShareDocument& aDocument, const std::string& aKey) const;
   void Reduce(const ShareRecord& aTo);
   void Settle(Instant aNow);
   void Refresh(Instant aNow);
@@ -186,6 +187,7 @@
   bool mPoolWasHeld = false;
   bool mFloorWasHeld = false;
   std::uint64_t mReclaimed = 0;
+  std::size_t mTurn = 0;
 };
 
 } // namespace vanillaloft::decide
--- a/src/entry/admission.cc
+++ b/src/entry/admission.cc
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::size_t kMostAsks = 3; // holders asked in one round
+constexpr std::size_t kMostAsks = 4; // holders asked in one round
 constexpr Duration kAskPause = std::chrono::milliseconds(20);
 constexpr Duration kShortestWait = std::chrono::milliseconds(2);
 constexpr Duration kLongestWait = std::chrono::milliseconds(20);
@@ -38,6 +38,9 @@
   request.set_data_centre(mCore.mSettings.mDataCentre);
   request.set_first_ask(aFirst);
   std::vector<std::string> givers = mCore.mShares.Givers(aBudget);
+  std::erase_if(givers, [&](const std::string& aGiver) {
+    return mCore.mMembers.Gone(aGiver, mCore.Now());
+  });
   givers.resize(std::min(givers.size(), kMostAsks));
   for (const std::string& giver : givers) {
     Instant asked = mCore.Now();
--- /dev/null
+++ b/tests/unit/decide.cc
@@ -0,0 +1,500 @@
+// Tests of the package decide.
+#include <doctest/doctest.h>
+
+#include <fmt/format.h>
+
+#include "base/clock.h"
+#include "decide/accept.h"
+#include "decide/blocks.h"
+#include "decide/config.h"
+#include "decide/fair.h"
+#include "decide/lookup.h"
+#include "decide/member.h"
+#include "decide/share.h"
+#include "decide/steer.h"
+#include "decide/ticket.h"
+
+using namespace vanillaloft;
+using namespace vanillaloft::decide;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Instant kStart{ 1000s };
+
+std::string SmallConfig(unsigned aRevision = 1, unsigned aRate = 100, unsigned aSlots = 2)
+{
+  return fmt::format(R"({{"revision":{},"floor_percent":50,
+    "regions":[{{"name":"r","data_centres":["d1","d2"]}}],
+    "organisations":[{{"name":"shop","rate_per_s":{},"burst":40,
+      "keys":[{{"id":"k","sha256":"{}"}}]}}],
+    "profiles":[{{"name":"p","ramp_ms":0,"spill_percent":50,"shift_cap_percent":30}}],
+    "services":[{{"name":"s","profile":"p",
+      "routes":[{{"path":"/s/","kind":"lookup"}},{{"path":"/s/order","kind":"order"}}],
+      "backend_servers":[{{"name":"b1","data_centre":"d1","address":"127.0.0.1:9001","slots":{}}},
+                 {{"name":"b2","data_centre":"d1","address":"127.0.0.1:9002","slots":{}}}]}}],
+    "client_blocks":[{{"block":"10.0.0.0/8","data_centre":"d2"}}]}})",
+                     aRevision,
+                     aRate,
+                     DigestText("secret"),
+                     aSlots,
+                     aSlots);
+}
+
+std::string Replaced(std::string aText, const std::string& aFrom, const std::string& aTo)
+{
+  return aText.replace(aText.find(aFrom), aFrom.size(), aTo);
+}
+
+std::string ErrorOf(const std::string& aText)
+{
+  try {
+    ParseConfig(aText);
+  } catch (const ConfigError& error) {
+    return error.what();
+  }
+  return "";
+}
+
+MemberStatus StatusAt(const std::string& aAddress, const std::string& aDataCentre)
+{
+  MemberStatus status;
+  status.mSelf = { aAddress, 1 };
+  status.mDataCentre = aDataCentre;
+  status.mEntryAddress = aAddress;
+  status.mReady = true;
+  return status;
+}
+
+// Reads, plans and writes as the daemon does, against a document in memory.
+bool Renew(ShareHolder& aHolder, ShareDocument& aDocument, Instant aNow)
+{
+  aHolder.Observe(aDocument, aNow);
+  auto planned = aHolder.Plan(aNow);
+  if (!planned) {
+    return false;
+  }
+  aDocument = *planned;
+  aHolder.Committed(aNow);
+  return true;
+}
+
+} // namespace
+
+TEST_CASE("a bucket starts empty and admits burst plus rate")
+{
+  Bucket bucket;
+  bucket.SetRate({ 10 * kToken, 5 * kToken }, kStart);
+  CHECK_FALSE(bucket.Take(kToken, kStart));
+  unsigned taken = 0;
+  for (int i = 0; i < 20; ++i) {
+    taken += bucket.Take(kToken, kStart + 10s) ? 1 : 0;
+  }
+  CHECK(taken == 5);
+  CHECK(bucket.TimeUntil(kToken, kStart + 10s) == 100ms + 1us);
+}
+
+TEST_CASE("a bucket whose burst is lowered loses what is above")
+{
+  Bucket bucket;
+  bucket.SetRate({ 10 * kToken, 50 * kToken }, kStart);
+  bucket.SetRate({ 10 * kToken, 3 * kToken }, kStart + 100s);
+  CHECK(bucket.Level(kStart + 100s) == 3 * kToken);
+  bucket.SetRate({ 10 * kToken, 50 * kToken }, kStart + 100s);
+  CHECK(bucket.Level(kStart + 100s) == 3 * kToken);
+}
+
+TEST_CASE("slow rates lose no fractions")
+{
+  Bucket bucket;
+  bucket.SetRate({ 3, 100 }, kStart);
+  for (int i = 1; i <= 1000; ++i) {
+    bucket.Level(kStart + i * 10ms);
+  }
+  CHECK(bucket.Level(kStart + 10s) == 30);
+}
+
+TEST_CASE("configuration errors name the path and the cause")
+{
+  std::string good = SmallConfig();
+  CHECK(ErrorOf(good).empty());
+  CHECK(ErrorOf("{").starts_with("/: is not JSON"));
+  CHECK(ErrorOf("{}") == "/: must name at least one region with a data centre");
+  CHECK(ErrorOf(Replaced(good, "\"burst\":40", "\"burst\":0")) ==
+        "/organisations/0/burst: must be a whole number from 1 to 10000000");
+  CHECK(ErrorOf(Replaced(good, "\"burst\"", "\"brust\"")) ==
+        "/organisations/0: has the unknown field 'brust'");
+  CHECK(ErrorOf(Replaced(good, "\"profile\":\"p\"", "\"profile\":\"q\"")) ==
+        "/services/0/profile: names 'q', which does not exist");
+  CHECK(ErrorOf(Replaced(good, "\"name\":\"b2\"", "\"name\":\"b1\"")) ==
+        "/services/0/backend_servers/1/name: repeats the name 'b1'");
+  CHECK(ErrorOf(Replaced(good, "10.0.0.0/8", "10.0.0.1/8")) ==
+        "/client_blocks/0/block: has bits set behind its prefix");
+  CHECK(ErrorOf(Replaced(good, "127.0.0.1:9001", "backend:9001")).find("IP address") !=
+        std::string::npos);
+  CHECK(ErrorOf(Replaced(good, "\"kind\":\"order\"", "\"kind\":\"orders\"")) ==
+        "/services/0/routes/1/kind: must be 'open', 'lookup' or 'order'");
+  CHECK(
+    ErrorOf(Replaced(good, "\"sha256\":\"", "\"sha256\":\"x")).find("64 hexadecimal") !=
+    std::string::npos);
+  CHECK(ErrorOf(Replaced(good, "\"name\":\"shop\"", "\"name\":\"a~b\""))
+          .find("may hold only") != std::string::npos);
+}
+
+TEST_CASE("a shift above its profile's cap is refused")
+{
+  std::string text = SmallConfig();
+  text.pop_back();
+  std::string shift =
+    R"(,"steering":{"shifts":[{"service":"s","from":"d1","to":"d2","percent":)";
+  CHECK(ErrorOf(text + shift + "30}]}}").empty());
+  CHECK(ErrorOf(text + shift + "31}]}}").find("exceeds shift_cap_percent 30") !=
+        std::string::npos);
+}
+
+TEST_CASE("the longest route path wins and keys are found by digest")
+{
+  ConfigPtr config = ParseConfig(SmallConfig());
+  CHECK(config->mRoutes[config->FindRoute("/s/order").At()].mKind == RouteKind::Order);
+  CHECK(config->mRoutes[config->FindRoute("/s/x").At()].mKind == RouteKind::Lookup);
+  CHECK(config->FindRoute("/t").IsNone());
+  CHECK(config->FindKey(DigestKey("secret")) == OrganisationId(0));
+  CHECK(config->FindKey(DigestKey("other")).IsNone());
+}
+
+TEST_CASE("client blocks nest and the longest holds")
+{
+  DataCentreId one(1);
+  DataCentreId two(2);
+  ClientBlocks blocks(
+    { { 0x0a000000, 8, one }, { 0x0a010000, 16, two }, { 0xffffff00, 24, one } });
+  CHECK(blocks.Find(0x09ffffff).IsNone());
+  CHECK(blocks.Find(0x0a000001) == one);
+  CHECK(blocks.Find(0x0a010203) == two);
+  CHECK(blocks.Find(0x0a020000) == one);
+  CHECK(blocks.Find(0x0b000000).IsNone());
+  CHECK(blocks.Find(0xffffffff) == one);
+}
+
+TEST_CASE("a revision never reverts")
+{
+  Acceptor acceptor;
+  CHECK(acceptor.Accept(ParseConfig(SmallConfig(2))) == Offer::Accepted);
+  CHECK(acceptor.Accept(ParseConfig(SmallConfig(1))) == Offer::Older);
+  CHECK(acceptor.Accept(ParseConfig(SmallConfig(2, 50))) == Offer::Differs);
+  CHECK(acceptor.Accept(ParseConfig(SmallConfig(2))) == Offer::Known);
+  CHECK(acceptor.Accept(ParseConfig(SmallConfig(3))) == Offer::Accepted);
+  CHECK(acceptor.Current()->mRevision == 3);
+}
+
+TEST_CASE("organisations take turns however long one's queue is")
+{
+  FairQueue queue;
+  for (WaiterId i = 0; i < 10; ++i) {
+    CHECK(queue.Push(OrganisationId(0), i));
+  }
+  CHECK(queue.Push(OrganisationId(1), 100));
+  CHECK(queue.Pop() == 0);
+  CHECK(queue.Pop() == 100);
+  CHECK(queue.Pop() == 1);
+  queue.Remove(OrganisationId(0), 2);
+  CHECK(queue.Pop() == 3);
+  CHECK(queue.Size() == 6);
+  for (WaiterId i = 0; i < FairQueue::kLongestQueue; ++i) {
+    CHECK(queue.Push(OrganisationId(2), i));
+  }
+  CHECK_FALSE(queue.Push(OrganisationId(2), 1000));
+}
+
+TEST_CASE("shares of all holders never exceed the whole")
+{
+  ConfigPtr config = ParseConfig(SmallConfig());
+  ShareHolder one({ "d1:1", 1 }, "d1");
+  ShareHolder two({ "d2:1", 2 }, "d2");
+  one.SetConfig(config, kStart);
+  two.SetConfig(config, kStart);
+  ShareDocument document;
+  BudgetId budget = config->mOrganisations[0].mBudget;
+  for (int i = 0; i < 20; ++i) {
+    Instant now = kStart + i * 2s;
+    one.CountDemand(budget, (i % 7) * kToken, now);
+    two.CountDemand(budget, (i % 3) * kToken, now);
+    CHECK(Renew(i % 2 == 0 ? one : two, document, now));
+    CHECK(document.PoolInUse("organisation:shop") <= kWhole);
+    Rate sum{ one.InForce(budget, now).mPerSecond + two.InForce(budget, now).mPerSecond,
+              one.InForce(budget, now).mBurst + two.InForce(budget, now).mBurst };
+    CHECK(sum.mPerSecond <= 100 * kToken);
+    CHECK(sum.mBurst <= 40 * kToken);
+  }
+}
+
+TEST_CASE("a holder that is not renewed stops by its own clock before others may reclaim")
+{
+  ConfigPtr config = ParseConfig(SmallConfig());
+  BudgetId budget = config->mOrganisations[0].mBudget;
+  ShareHolder one({ "d1:1", 1 }, "d1");
+  one.SetConfig(config, kStart);
+  ShareDocument document;
+  CHECK(Renew(one, document, kStart));
+  Rate full = one.InForce(budget, kStart);
+  CHECK(one.HoldsPool(kStart + HolderTerm(kPoolTerm) - 1us));
+  CHECK_FALSE(one.HoldsPool(kStart + HolderTerm(kPoolTerm)));
+  CHECK(one.InForce(budget, kStart + kPoolTerm).mPerSecond < full.mPerSecond);
+  CHECK(one.HoldsFloor(kStart + kPoolTerm));
+  CHECK(HolderTerm(kPoolTerm) < ReclaimTerm(kPoolTerm));
+}
+
+TEST_CASE("a write without reply gives nothing until it is read back")
+{
+  ConfigPtr config = ParseConfig(SmallConfig());
+  BudgetId budget = config->mOrganisations[0].mBudget;
+  ShareHolder one({ "d1:1", 1 }, "d1");
+  one.SetConfig(config, kStart);
+  one.Observe({}, kStart);
+  ShareDocument written = *one.Plan(kStart);
+  one.Unknown();
+  CHECK(one.InForce(budget, kStart) == Rate{});
+  one.Observe(written, kStart + 1s);
+  CHECK(one.IsHolder());
+  CHECK(one.InForce(budget, kStart + 1s).mPerSecond > 0);
+  CHECK_FALSE(one.HoldsPool(kStart + HolderTerm(kPoolTerm)));
+}
+
+TEST_CASE(
+  "a successor at the same address replaces its predecessor at once, another waits")
+{
+  ConfigPtr config = ParseConfig(SmallConfig());
+  BudgetId budget = config->mOrganisations[0].mBudget;
+  ShareHolder dead({ "d1:1", 1 }, "d1");
+  dead.SetConfig(config, kStart);
+  ShareDocument document;
+  CHECK(Renew(dead, document, kStart));
+  ShareDocument before = document;
+  ShareHolder successor({ "d1:1", 2 }, "d1");
+  successor.SetConfig(config, kStart + 1s);
+  CHECK(Renew(successor, document, kStart + 1s));
+  CHECK(successor.HoldsFloor(kStart + 1s));
+  CHECK_FALSE(successor.Spend(budget, kToken, kStart + 1s)); // the bucket starts empty
+  ShareHolder stranger({ "d1:2", 3 }, "d1");
+  stranger.SetConfig(config, kStart + 1s);
+  CHECK_FALSE(Renew(stranger, before, kStart + 1s));
+  CHECK_FALSE(Renew(stranger, before, kStart + 1s + kPoolTerm));
+  CHECK(Renew(stranger, before, kStart + 1s + ReclaimTerm(kPoolTerm)));
+  CHECK_FALSE(stranger.HoldsFloor(kStart + 1s + ReclaimTerm(kPoolTerm)));
+}
+
+TEST_CASE("a planned stop gives the whole share back")
+{
+  ConfigPtr config = ParseConfig(SmallConfig());
+  BudgetId budget = config->mOrganisations[0].mBudget;
+  ShareHolder one({ "d1:1", 1 }, "d1");
+  one.SetConfig(config, kStart);
+  ShareDocument document;
+  CHECK(Renew(one, document, kStart));
+  auto without = one.Leave(kStart + 1s);
+  REQUIRE(without);
+  CHECK(without->mRecords.empty());
+  CHECK_FALSE(one.Spend(budget, kToken, kStart + 60s));
+  CHECK_FALSE(Renew(one, document, kStart + 60s));
+}
+
+TEST_CASE("the document survives its text form")
+{
+  ShareDocument document;
+  document.mRecords.push_back({ "d1",
+                                { "127.0.0.1:1", 7 },
+                                9,
+                                true,
+                                { { "organisation:x", 300 } },
+                                { { "y", 5 } } });
+  ShareDocument again = ShareDocument::Parse(document.Text());
+  REQUIRE(again.mRecords.size() == 1);
+  CHECK(again.Text() == document.Text());
+  CHECK_THROWS(ShareDocument::Parse("{}"));
+}
+
+TEST_CASE("a ticket starts one order and repeats get its outcome")
+{
+  Ledger ledger({ "127.0.0.1:1", 5 }, "secret", 30s);
+  std::string ticket = *ledger.Issue("shop", kStart);
+  Admission first = ledger.Admit(ticket, "shop", "body", kStart);
+  CHECK(first.mKind == Admission::Kind::Start);
+  Admission second = ledger.Admit(ticket, "shop", "body", kStart);
+  CHECK(second.mRefusal == base::Result::OrderInProgress);
+  ledger.Finish(1, Outcome{ base::Result::Ok, 201, "text/plain", "done" });
+  Admission third = ledger.Admit(ticket, "shop", "body", kStart + 1s);
+  CHECK(third.mKind == Admission::Kind::Repeat);
+  CHECK(third.mOutcome.mStatus == 201);
+  CHECK(ledger.Admit(ticket, "shop", "other", kStart + 1s).mRefusal ==
+        base::Result::TicketBodyDiffers);
+  CHECK(ledger.Admit(ticket, "shop", "body", kStart + 30s).mRefusal ==
+        base::Result::TicketExpired);
+  CHECK(ledger.Size() == 0);
+  CHECK(ledger.AnswerBytes() == 0);
+}
+
+TEST_CASE("forged, foreign and former tickets start nothing")
+{
+  Ledger ledger({ "127.0.0.1:1", 5 }, "secret", 30s);
+  Ledger former({ "127.0.0.1:1", 4 }, "former secret", 30s);
+  std::string ticket = *ledger.Issue("shop", kStart);
+  CHECK(ledger.Admit(ticket, "thief", "body", kStart).mRefusal ==
+        base::Result::TicketInvalid);
+  std::string forged = ticket;
+  forged.back() = forged.back() == '0' ? '1' : '0';
+  CHECK(ledger.Admit(forged, "shop", "body", kStart).mRefusal ==
+        base::Result::TicketInvalid);
+  CHECK(ledger.Admit("nonsense", "shop", "body", kStart).mRefusal ==
+        base::Result::TicketInvalid);
+  std::string old = *former.Issue("shop", kStart);
+  CHECK(ledger.Admit(old, "shop", "body", kStart).mRefusal ==
+        base::Result::OutcomeUnknown);
+  CHECK(ledger.Admit(ticket, "shop", "body", kStart).mKind == Admission::Kind::Start);
+}
+
+TEST_CASE(
+  "an order that did not run may use its ticket again, but only for the same request")
+{
+  Ledger ledger({ "127.0.0.1:1", 5 }, "secret", 30s);
+  std::string ticket = *ledger.Issue("shop", kStart);
+  CHECK(ledger.Admit(ticket, "shop", "body", kStart).mKind == Admission::Kind::Start);
+  ledger.Release(1);
+  CHECK(ledger.Admit(ticket, "shop", "other", kStart).mRefusal ==
+        base::Result::TicketBodyDiffers);
+  CHECK(ledger.Admit(ticket, "shop", "body", kStart).mKind == Admission::Kind::Start);
+}
+
+TEST_CASE("what the ledger remembers is bounded")
+{
+  Ledger ledger({ "127.0.0.1:1", 5 }, "secret", 30s);
+  for (std::size_t i = 0; i < Ledger::kMostTickets; ++i) {
+    REQUIRE(ledger.Issue("shop", kStart));
+  }
+  CHECK_FALSE(ledger.Issue("shop", kStart));
+  std::string large(Ledger::kLargestKeptAnswer + 1, 'x');
+  ledger.Finish(1, Outcome{ base::Result::Ok, 200, "", large });
+  CHECK(ledger.AnswerBytes() == 0);
+  CHECK(ledger.Issue("shop", kStart + 30s));
+  CHECK(ledger.Size() == 1);
+}
+
+TEST_CASE("slots of an owned server are counted exactly and released ones return")
+{
+  Steer steer("d1");
+  steer.SetConfig(ParseConfig(SmallConfig()), kStart);
+  Members members("d1:1", "d1");
+  steer.Beat(members, false, kStart);
+  for (std::size_t i : { 0, 1 }) {
+    steer.Report(BackendServerId(i), ServerState::Serving, kStart);
+  }
+  ServiceId service(0);
+  CHECK_FALSE(steer.Acquire(service, Origin::Local, kStart + 500ms)); // hand-over time
+  Instant now = kStart + kHandOver;
+  for (Instant beat = kStart; beat <= now; beat += 500ms) {
+    steer.Beat(members, false, beat);
+  }
+  std::vector<Slot> slots;
+  for (int i = 0; i < 4; ++i) {
+    auto slot = steer.Acquire(service, Origin::Local, now);
+    REQUIRE(slot);
+    slots.push_back(*slot);
+  }
+  CHECK_FALSE(steer.Acquire(service, Origin::Local, now));
+  Steer::Release(slots[0], Ending::Answered, now);
+  CHECK(steer.Acquire(service, Origin::Local, now));
+  Steer::Release(slots[1], Ending::Shed, now);
+  CHECK_FALSE(steer.Acquire(service, Origin::Local, now + kShedPause - 1ms));
+  CHECK(steer.Acquire(service, Origin::Local, now + kShedPause));
+}
+
+TEST_CASE("remote requests get only their part of the slots")
+{
+  Steer steer("d1");
+  steer.SetConfig(ParseConfig(SmallConfig()), kStart);
+  Members members("d1:1", "d1");
+  steer.Report(BackendServerId(0), ServerState::Serving, kStart);
+  steer.Report(BackendServerId(1), ServerState::Serving, kStart);
+  for (Instant beat = kStart; beat <= kStart + kHandOver; beat += 500ms) {
+    steer.Beat(members, false, beat);
+  }
+  Instant now = kStart + kHandOver;
+  CHECK(steer.Acquire(ServiceId(0), Origin::Remote, now));
+  CHECK(steer.Acquire(ServiceId(0), Origin::Remote, now));
+  CHECK_FALSE(steer.Acquire(ServiceId(0), Origin::Remote, now));
+  CHECK(steer.Acquire(ServiceId(0), Origin::Local, now));
+}
+
+TEST_CASE("a process that was frozen sends nothing before its next beat")
+{
+  Steer steer("d1");
+  steer.SetConfig(ParseConfig(SmallConfig()), kStart);
+  Members members("d1:1", "d1");
+  steer.Report(BackendServerId(0), ServerState::Serving, kStart);
+  for (Instant beat = kStart; beat <= kStart + kHandOver; beat += 500ms) {
+    steer.Beat(members, false, beat);
+  }
+  Instant woken = kStart + 60s;
+  CHECK_FALSE(steer.Acquire(ServiceId(0), Origin::Local, woken));
+  steer.Beat(members, false, woken);
+  CHECK_FALSE(steer.Acquire(ServiceId(0), Origin::Local, woken)); // owned anew
+}
+
+TEST_CASE("a slot survives a change of the configuration")
+{
+  Steer steer("d1");
+  steer.SetConfig(ParseConfig(SmallConfig()), kStart);
+  Members members("d1:1", "d1");
+  steer.Report(BackendServerId(0), ServerState::Serving, kStart);
+  for (Instant beat = kStart; beat <= kStart + kHandOver; beat += 500ms) {
+    steer.Beat(members, false, beat);
+  }
+  auto slot = steer.Acquire(ServiceId(0), Origin::Local, kStart + kHandOver);
+  REQUIRE(slot);
+  steer.SetConfig(ParseConfig(SmallConfig(2, 100, 3)), kStart + kHandOver);
+  CHECK(steer.Views()[0]->mInFlight == 1);
+  Steer::Release(*slot, Ending::Answered, kStart + kHandOver);
+  CHECK(steer.Views()[0]->mInFlight == 0);
+}
+
+TEST_CASE("every backend server has one owner among the living instances")
+{
+  Members one("d1:1", "d1");
+  Members two("d1:2", "d1");
+  one.Heard(StatusAt("d1:2", "d1"), kStart);
+  two.Heard(StatusAt("d1:1", "d1"), kStart);
+  for (const char* server : { "a", "b", "c", "d", "e", "f" }) {
+    CHECK(one.OwnsBackendServer(server, false, kStart) !=
+          two.OwnsBackendServer(server, false, kStart));
+    CHECK(one.OwnerOf(server, true, kStart) == "d1:2");
+    CHECK(one.OwnsBackendServer(server, true, kStart + kMemberTimeout));
+  }
+}
+
+TEST_CASE("look-ups name the nearest data centre's instances and never a leaving one")
+{
+  ConfigPtr config = ParseConfig(SmallConfig());
+  Members members("d1:1", "d1");
+  members.Heard(StatusAt("d2:1", "d2"), kStart);
+  LookUp lookUp;
+  lookUp.Rebuild(config, members, StatusAt("d1:1", "d1"), kStart);
+  REQUIRE(lookUp.Decide(0x0a000001).size() == 1);
+  CHECK(lookUp.Decide(0x0a000001)[0].mAddress == "d2:1");
+  CHECK(lookUp.Decide(0x01010101)[0].mAddress == "d1:1");
+  MemberStatus leaving = StatusAt("d2:1", "d2");
+  leaving.mLeaving = true;
+  members.Heard(leaving, kStart);
+  lookUp.Rebuild(config, members, StatusAt("d1:1", "d1"), kStart);
+  CHECK(lookUp.Decide(0x0a000001)[0].mAddress == "d1:1");
+}
+
+TEST_CASE("heartbeats grow with the data centre and the logarithm of their number")
+{
+  Members members("c000:0", "c000");
+  for (int centre = 0; centre < 121; ++centre) {
+    for (int i = 0; i < 26; ++i) {
+      members.AddAddress(fmt::format("c{:03}:{}", centre, i),
+                         fmt::format("c{:03}", centre));
+    }
+  }
+  CHECK(members.Neighbours().size() == 25 + 2 * 7);
+}
--- /dev/null
+++ b/tools/unit.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Runs the test program of each library.
+set -u
+failed=0
+for program in "$BUILD"/tests/unit-*; do
+  "$program" || failed=1
+done
+exit $failed
