Process tests: bad input, kills, freezes, store faults, planned stops under load

Cause: the wiring between decisions and sockets was proved only by the demo. Ruled out: timing asserts; the tests wait for states and judge results, and the backend servers' own logs judge what ran.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 PACKAGES = libboost1.81-dev libgrpc++-dev protobuf-compiler-grpc prometheus-cpp-dev libspdlog-dev \
   doctest-dev nlohmann-json3-dev libxxhash-dev librapidcheck-dev spin libssl-dev ninja-build cmake \
-  g++ gcc clang-format clang-tidy ccache curl python3 pkg-config
+  g++ gcc clang-format clang-tidy ccache curl netcat-openbsd python3 pkg-config
 
 .PHONY: build install-packages demo test unit scenarios model explore process bench capacity asan \
   tsan format check-format tidy
--- /dev/null
+++ b/tools/process.sh
@@ -0,0 +1,186 @@
+#!/usr/bin/env bash
+# Tests of the running processes: wiring, bad input and failures. Prints "ok NAME" or
+# "FAILED NAME" for each.
+set -u
+cd "$(dirname "$0")/.."
+BUILD=${BUILD:-build}
+BASE=8
+TICKET_TTL_MS=3000
+. tools/site.sh
+trap stop_site EXIT
+failed=0
+KEY='Authorization: Bearer demo-key-of-grocer'
+
+verdict() { # NAME CONDITION-STATUS [TEXT]
+  if [ "$2" = 0 ]; then
+    echo "ok process-$1"
+  else
+    echo "FAILED process-$1"
+    echo "  ${3:-}"
+    failed=1
+  fi
+}
+
+expect() { # NAME WANTED GOT
+  [ "$2" = "$3" ]
+  verdict "$1" $? "wanted '$2', got '$3'"
+}
+
+result_of() { python3 -c 'import json,sys; print(json.load(sys.stdin).get("name","ok"))' 2>/dev/null || echo ok; }
+ask() { # INSTANCE TARGET [CURL-ARGUMENTS...]: the result's name
+  local name=$1 target=$2
+  shift 2
+  curl -s -m 8 "$@" "http://${ENTRY[$name]}$target" | result_of
+}
+raw() { # INSTANCE TEXT: what comes back for raw bytes
+  printf "$2" | timeout "${3:-3}" nc -q "${4:-1}" "${ENTRY[$1]%:*}" "${ENTRY[$1]#*:}"
+}
+ticket_of() { # INSTANCE [KEY]
+  curl -s -H "${2:-$KEY}" "http://${ENTRY[$1]}/v1/lookup?service=reorders&tickets=1" |
+    python3 -c 'import json,sys; print(json.load(sys.stdin)["tickets"][0])'
+}
+order() { # INSTANCE TICKET BODY
+  curl -s -m 8 -X POST -H "$KEY" -H "Idempotency-Key: $2" -d "$3" "http://${ENTRY[$1]}/reorders" | result_of
+}
+fault() { curl -s -X PUT "http://127.0.0.1:${BASE}$1/fault/$2" >/dev/null; } # PORT MODE
+store_fault() { curl -s -X PUT "http://$STORE/fault/$1" >/dev/null; }
+revision_of() {
+  curl -s "http://${ADMIN[$1]}/state" | python3 -c 'import json,sys; print(json.load(sys.stdin)["revision"])'
+}
+await() { # SECONDS COMMAND...: until the command succeeds
+  local tries=$(($1 * 10)) i
+  shift
+  for i in $(seq "$tries"); do "$@" >/dev/null 2>&1 && return 0; sleep 0.1; done
+  return 1
+}
+at_revision() { [ "$(revision_of "$1")" = "$2" ]; }
+
+start_site
+sleep 0.3
+site_config >"$LOGS/config.json"
+ctl apply "$LOGS/config.json" >"$LOGS/apply.txt"
+wait_ready e1 e2 e3 w1 || { echo "FAILED process-start"; exit 1; }
+echo "ok process-start"
+
+# Bad input: each gets its numbered result and the instance goes on.
+expect wrong-key key-unknown "$(ask e1 /stock/x -H 'Authorization: Bearer nonsense')"
+expect no-key key-missing "$(ask e1 /stock/x)"
+expect open-route ok "$(ask e1 /opening-hours)"
+expect unknown-route unknown-route "$(ask e1 /nothing -H "$KEY")"
+expect wrong-method method-not-allowed "$(ask e1 /reorders -H "$KEY")"
+expect no-ticket ticket-missing "$(ask e1 /reorders -X POST -H "$KEY" -d x)"
+expect bad-ticket ticket-invalid "$(order e1 nonsense x)"
+expect foreign-ticket ticket-invalid "$(order e1 "$(ticket_of e1 'Authorization: Bearer demo-key-of-stall')" x)"
+expect ticket-from-nowhere outcome-unknown "$(order e1 'v1~127.9.9.9:1~1~1~grocer~99~00' x)"
+head -c 1100000 /dev/zero >"$LOGS/large"
+expect large-body body-too-large "$(ask e1 /stock/x -X POST -H "$KEY" --data-binary "@$LOGS/large" -H 'Expect:')"
+expect large-head head-too-large "$(ask e1 /stock/x -H "$KEY" -H "X-Long: $(head -c 20000 /dev/zero | tr '\0' x)")"
+raw e1 'nonsense\r\n\r\n' | grep -q malformed-request
+verdict malformed $?
+raw e1 'POST /stock/x HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello' | grep -q conflicting-length
+verdict conflicting-lengths $?
+raw e1 'POST /stock/x HTTP/1.1\r\nHost: x\r\nContent-Length: 50\r\n\r\nhello' 3 0 | grep -q body-incomplete
+verdict body-stops-midway $?
+count=$(raw e1 "GET /stock/1 HTTP/1.1\r\nHost: x\r\n$KEY\r\n\r\nGET /stock/2 HTTP/1.1\r\nHost: x\r\n$KEY\r\n\r\n" | grep -c 'answer to')
+expect pipelined 2 "$count"
+expect alive-after-bad-input ok "$(ask e1 /stock/x -H "$KEY")"
+
+# Orders.
+ticket=$(ticket_of e1)
+expect order ok "$(order e1 "$ticket" one)"
+expect order-repeat-elsewhere ok "$(order e3 "$ticket" one)"
+expect order-other-body ticket-body-differs "$(order w1 "$ticket" two)"
+fault 303 late
+ticket=$(ticket_of e1)
+expect order-late outcome-unknown "$(order e1 "$ticket" three)"
+fault 303 none
+expect order-late-repeat outcome-unknown "$(order e2 "$ticket" three)"
+fault 303 crossed
+expect order-crossed outcome-unknown "$(order e1 "$(ticket_of e1)" four)"
+fault 303 none
+fault 303 shed
+expect order-shed-not-run 1 "$(order e1 "$(ticket_of e1)" five | grep -cE 'shed|no-backend-server')"
+fault 303 none
+sleep 5.5 # the abandoned requests' slots return
+ticket=$(ticket_of e2)
+expect order-before-kill ok "$(order e2 "$ticket" six)"
+kill -KILL "${PID[e2]}"
+sleep 0.3
+expect order-issuer-killed outcome-unknown "$(order e1 "$ticket" six)"
+start_instance e2
+await 8 at_revision e2 1
+verdict replaced-instance-gets-configuration $?
+expect order-new-incarnation outcome-unknown "$(order e2 "$ticket" six)"
+expect ran-twice 0 "$(run_twice)"
+
+# The store: outage, withdrawal, replacement, older state.
+store_fault mark
+ctl withdraw-key grocer spare >"$LOGS/withdraw.txt"
+verdict withdrawal-in-force-everywhere $?
+expect withdrawn-key key-unknown "$(ask e3 /stock/x -H 'Authorization: Bearer demo-spare-key')"
+store_fault down
+kill -KILL "${PID[e3]}"
+sleep 0.2
+start_instance e3
+await 8 at_revision e3 2
+verdict replaced-during-outage $?
+expect withdrawn-key-after-replacement key-unknown "$(ask e3 /stock/x -H 'Authorization: Bearer demo-spare-key')"
+ctl drain stock-2 >"$LOGS/drain.txt" 2>&1
+[ $? != 0 ]
+verdict change-during-outage-is-refused $?
+store_fault older
+store_fault none
+await 8 sh -c "curl -s http://$STORE/v1/kv/vanillaloft/config?raw | grep -q '\"revision\": 2'"
+verdict older-store-is-repaired $?
+expect no-reversion 2 "$(revision_of e1)"
+store_fault lose
+ctl drain stock-2 >"$LOGS/lost.txt" 2>&1 &
+lost=$!
+sleep 2.6
+store_fault none
+wait $lost
+grep -q 'reading back' "$LOGS/lost.txt" && grep -q accepted "$LOGS/lost.txt"
+verdict lost-reply-is-read-back $? "$(cat "$LOGS/lost.txt")"
+for i in 1 2 3 4; do ctl undrain stock-2 >"$LOGS/race$i.txt" 2>&1 & RACE[$i]=$!; done
+won=0
+for i in 1 2 3 4; do wait "${RACE[$i]}" && won=$((won + 1)); done
+highest=$(revision_of e1)
+expect race-each-win-is-a-revision "$((3 + won))" "$highest"
+
+# Frozen and woken: the instance's callers are served by others, nothing runs twice.
+wait_ready e1 e2 e3 w1
+kill -STOP "${PID[e1]}"
+sleep 2.5
+expect frozen-others-serve ok "$(ask e2 /stock/x -H "$KEY")"
+kill -CONT "${PID[e1]}"
+await 8 sh -c "curl -s -m 2 -H '$KEY' http://${ENTRY[e1]}/stock/x | grep -q answer"
+verdict woken-serves-again $?
+
+# Planned stops in turn under load: no request is cut, no order runs twice.
+wait_ready e1 e2 e3 w1
+"$BUILD/tests/load" --entries "$ENTRIES" --key demo-key-of-grocer --service stock --path /stock/y \
+  --order-path /reorders --rate 150 --seconds 26 --orders-percent 10 >"$LOGS/load.txt" &
+load=$!
+for name in e1 e2 e3; do
+  sleep 1
+  kill -TERM "${PID[$name]}"
+  wait "${PID[$name]}"
+  start_instance "$name"
+  wait_ready "$name"
+done
+wait $load
+grep -q 'cut 0$' "$LOGS/load.txt"
+verdict planned-stops-cut-nothing $? "$(cat "$LOGS/load.txt")"
+head -1 "$LOGS/load.txt" | grep -qE 'orders ([0-9]+)/\1,'
+verdict planned-stops-lose-no-order $? "$(cat "$LOGS/load.txt")"
+expect ran-twice-in-all 0 "$(run_twice)"
+expect no-key-at-backend-servers 0 "$(ran | grep -c KEY-SEEN)"
+
+# No secret in a log, dump or metric.
+{ cat "$LOGS"/e?.log "$LOGS"/w?.log; for name in e1 e2 e3 w1; do
+  curl -s "http://${ADMIN[$name]}/state"; curl -s "http://${ADMIN[$name]}/metrics"; done; } >"$LOGS/all"
+expect no-secrets 0 "$(grep -cE 'demo-key|demo-spare|v1~' "$LOGS/all")"
+overruns=0
+for port in 301 302 303; do overruns=$((overruns + $(curl -s "http://127.0.0.1:${BASE}$port/overruns"))); done
+expect no-slot-overrun 0 "$overruns"
+exit $failed
