A store that comes back empty or older is repaired before anything is gained

When the store came back empty, an instance that was not the holder saw the floor free and took it while the holder still used it. The document now counts its writes; who sees it go back restores the newest record of each holder, gains nothing from the pool for a term, and newcomers wait 3 s before they begin.

Ruled out: waiting out the floor's hold of two hours, which would leave a new site without limits for that long.

Not covered: a holder cut off from the store while the store comes back older and a new instance starts in its data centre.

--- a/src/decide/parse.cc
+++ b/src/decide/parse.cc
@@ -148,7 +148,7 @@
     mConfig->mRevision = static_cast<Revision>(
       mRoot.Number("revision", 0, std::numeric_limits<long>::max(), 0));
     mConfig->mFloorPercent =
-      static_cast<unsigned>(mRoot.Number("floor_percent", 0, 100, 80));
+      static_cast<unsigned>(mRoot.Number("floor_percent", 0, 100, 85));
     mRoot.Each("regions", [this](const Node& aNode) { ReadRegion(aNode); });
     if (mConfig->mDataCentres.empty()) {
       mRoot.Fail("must name at least one region with a data centre");
--- a/src/decide/share.cc
+++ b/src/decide/share.cc
@@ -107,6 +107,7 @@
 {
   ShareDocument document;
   json value = json::parse(aText);
+  document.mWrites = value.at("writes").get<std::uint64_t>();
   for (const json& entry : value.at("records")) {
     ShareRecord record;
     record.mDataCentre = entry.at("data_centre").get<std::string>();
@@ -133,7 +134,7 @@
                         { "pool", record.mPool },
                         { "demand", record.mDemand } });
   }
-  return json{ { "records", records } }.dump();
+  return json{ { "writes", mWrites }, { "records", records } }.dump();
 }
 
 void ShareHolder::SetConfig(ConfigPtr aConfig, Instant aNow)
@@ -161,30 +162,64 @@
   Refresh(aNow);
 }
 
-// A record is seen anew whenever its sequence rises. A sequence that falls, or an own
-// record that is older than what was committed, means that the store came back with older
-// state: then nothing is gained until everything that others may hold has lapsed.
-void ShareHolder::Observe(const ShareDocument& aDocument, Instant aNow)
+// The store came back with older state if the document went back, or if the own record did
+// while its term still runs: nobody else may have touched it then.
+bool ShareHolder::IsOlder(const ShareDocument& aDocument, Instant aNow) const
+{
+  const ShareRecord* own = aDocument.Find(mSelf);
+  bool ownWentBack =
+    mRecord && HoldsPool(aNow) && (!own || own->mSequence < mRecord->mSequence);
+  return aDocument.mWrites < mDocument.mWrites || ownWentBack;
+}
+
+// Of each record the newer one counts, so what others hold is not taken for free.
+ShareDocument ShareHolder::Repaired(ShareDocument aDocument) const
+{
+  std::vector<ShareRecord> known = mDocument.mRecords;
+  if (mRecord) {
+    known.push_back(*mRecord);
+  }
+  for (const ShareRecord& record : known) {
+    auto there = std::ranges::find(aDocument.mRecords, record.mHolder, &ShareRecord::mHolder);
+    if (there == aDocument.mRecords.end()) {
+      aDocument.mRecords.push_back(record);
+    } else if (there->mSequence < record.mSequence) {
+      *there = record;
+    }
+  }
+  aDocument.mWrites = std::max(aDocument.mWrites, mDocument.mWrites);
+  return aDocument;
+}
+
+// A record is seen anew whenever its sequence rises.
+void ShareHolder::Look(Instant aNow)
 {
-  Settle(aNow);
-  bool olderState = false;
   std::map<Incarnation, Sight> sights;
-  for (const ShareRecord& record : aDocument.mRecords) {
+  for (const ShareRecord& record : mDocument.mRecords) {
     auto known = mSights.find(record.mHolder);
     bool fresh = known == mSights.end() || known->second.mSequence != record.mSequence;
-    olderState |= known != mSights.end() && record.mSequence < known->second.mSequence;
     sights[record.mHolder] = fresh ? Sight{ record.mSequence, aNow } : known->second;
   }
   mSights = std::move(sights);
-  const ShareRecord* own = aDocument.Find(mSelf);
-  if (mRecord) {
-    bool regressed = !own || own->mSequence < mRecord->mSequence;
-    olderState |= regressed;
-    if (!own) {
-      mRecord.reset();
-    } else if (own->mSequence != mRecord->mSequence) {
-      Reduce(*own);
-    }
+}
+
+// After an older state, and as a newcomer, nothing is gained from the pool until all that others
+// may have gained unseen has lapsed.
+void ShareHolder::Observe(const ShareDocument& aDocument, Instant aNow)
+{
+  Settle(aNow);
+  bool older = mSeen && IsOlder(aDocument, aNow);
+  bool newcomer = !mSeen && !aDocument.mRecords.empty();
+  mDocument = older ? Repaired(aDocument) : aDocument;
+  if (older || newcomer) {
+    mNoIncreaseUntil = aNow + ReclaimTerm(kPoolTerm);
+  }
+  Look(aNow);
+  const ShareRecord* own = mDocument.Find(mSelf);
+  if (mRecord && !own) {
+    mRecord.reset();
+  } else if (mRecord && own->mSequence != mRecord->mSequence) {
+    Reduce(*own);
   }
   auto unread = own ? mUnread.find(own->mSequence) : mUnread.end();
   if (unread != mUnread.end()) {
@@ -193,12 +228,10 @@
     mFloorUntil = unread->second + HolderTerm(kFloorHold);
     mUnread.clear();
   }
-  bool newcomer = !mSeen && !aDocument.mRecords.empty();
-  if (olderState || newcomer) {
-    mNoIncreaseUntil = aNow + ReclaimTerm(kPoolTerm);
+  if (!mSeen) {
+    mSeen = true;
+    mSeenSince = aNow;
   }
-  mSeen = true;
-  mDocument = aDocument;
   Refresh(aNow);
 }
 
@@ -226,6 +259,16 @@
   });
 }
 
+// A predecessor's record proves that the document is not an older one in which the floor only
+// seems to be free.
+bool ShareHolder::MayStart(Instant aNow) const
+{
+  bool predecessor = std::ranges::any_of(mDocument.mRecords, [&](const ShareRecord& aRecord) {
+    return aRecord.mHolder.mAddress == mSelf.mAddress;
+  });
+  return predecessor || aNow - mSeenSince >= kNewcomerWait;
+}
+
 // An own predecessor is gone for certain: this process could bind its address.
 void ShareHolder::DropLapsed(ShareDocument& aDocument, Instant aNow)
 {
@@ -319,11 +362,15 @@
 std::optional<ShareDocument> ShareHolder::Plan(Instant aNow)
 {
   mPlanned.reset();
-  if (!mConfig || !mSeen || mLeft || (!mRecord && OtherHolderAlive(aNow))) {
+  if (!mConfig || !mSeen || mLeft) {
+    return std::nullopt;
+  }
+  if (!mRecord && (OtherHolderAlive(aNow) || !MayStart(aNow))) {
     return std::nullopt;
   }
   Settle(aNow);
   ShareDocument next = mDocument;
+  ++next.mWrites;
   DropLapsed(next, aNow);
   ShareRecord own;
   if (const ShareRecord* written = next.Find(mSelf)) {
@@ -398,6 +445,7 @@
     return std::nullopt;
   }
   ShareDocument next = mDocument;
+  ++next.mWrites;
   std::erase_if(next.mRecords,
                 [&](const ShareRecord& aRecord) { return aRecord.mHolder == mSelf; });
   return next;
--- a/src/decide/share.h
+++ b/src/decide/share.h
@@ -29,6 +29,9 @@
 constexpr Duration kPoolTerm = std::chrono::seconds(9);
 // How long a recorded floor may be used.
 constexpr Duration kFloorHold = std::chrono::hours(2);
+// A new instance takes nothing for this long, so that holders that are alive and reach the store
+// have repaired it in case it came back empty or older.
+constexpr Duration kNewcomerWait = std::chrono::seconds(3);
 constexpr Duration kRenewInterval = std::chrono::seconds(2);
 // Clocks may run fast or slow by this much.
 constexpr int kDriftPerMille = 10;
@@ -69,6 +72,7 @@
 
 struct ShareDocument
 {
+  std::uint64_t mWrites = 0; // rises with each write, so that an older state is recognised
   std::vector<ShareRecord> mRecords;
 
   static constexpr std::string_view kKey = "vanillaloft/shares";
@@ -125,6 +129,8 @@
   // Counts demand, whether it is met or not.
   void CountDemand(BudgetId aBudget, MicroTokens aAmount, Instant aNow);
 
+  // True if another instance of this data centre holds its shares.
+  bool OtherHolderAlive(Instant aNow) const;
   bool IsHolder() const { return mRecord.has_value(); }
   bool HoldsPool(Instant aNow) const { return mRecord && aNow < mPoolUntil; }
   bool HoldsFloor(Instant aNow) const
@@ -148,7 +154,10 @@
 
   bool Lapsed(const ShareRecord& aRecord, Duration aTerm, Instant aNow) const;
   bool MayIncrease(Instant aNow) const { return aNow >= mNoIncreaseUntil; }
-  bool OtherHolderAlive(Instant aNow) const;
+  bool MayStart(Instant aNow) const;
+  bool IsOlder(const ShareDocument& aDocument, Instant aNow) const;
+  ShareDocument Repaired(ShareDocument aDocument) const;
+  void Look(Instant aNow);
   void DropLapsed(ShareDocument& aDocument, Instant aNow);
   bool FloorFree(const ShareDocument& aDocument) const;
   PerMille Want(const ShareDocument& aDocument,
@@ -173,6 +182,7 @@
   ShareDocument mDocument; // as last read or written
   std::map<Incarnation, Sight> mSights;
   bool mSeen = false;
+  Instant mSeenSince{};
   Instant mNoIncreaseUntil{};
 
   std::optional<ShareRecord> mRecord; // in use
