Other data centres are told the slots that they may have

Heartbeats told everybody all free slots, but requests of other data centres may use only a part of them; so they went where they were refused, twice, and were given up. Heartbeats now tell both figures and three instances are tried instead of two.

--- a/src/decide/member.h
+++ b/src/decide/member.h
@@ -27,8 +27,9 @@
   bool mLeaving = false;
   Revision mRevision = 0;
   std::string mDigest;
-  Duration mConfirmedAge = Duration::max();   // since the store confirmed the revision
-  std::map<std::string, unsigned> mFreeSlots; // by service, for other instances
+  Duration mConfirmedAge = Duration::max();     // since the store confirmed the revision
+  std::map<std::string, unsigned> mFreeSlots;   // by service, for its data centre
+  std::map<std::string, unsigned> mRemoteSlots; // by service, for other data centres
 };
 
 struct Member
--- a/src/decide/share.cc
+++ b/src/decide/share.cc
@@ -162,8 +162,8 @@
   Refresh(aNow);
 }
 
-// The store came back with older state if the document went back, or if the own record did
-// while its term still runs: nobody else may have touched it then.
+// The store came back with older state if the document went back, or if the own record
+// did while its term still runs: nobody else may have touched it then.
 bool ShareHolder::IsOlder(const ShareDocument& aDocument, Instant aNow) const
 {
   const ShareRecord* own = aDocument.Find(mSelf);
@@ -180,7 +180,8 @@
     known.push_back(*mRecord);
   }
   for (const ShareRecord& record : known) {
-    auto there = std::ranges::find(aDocument.mRecords, record.mHolder, &ShareRecord::mHolder);
+    auto there =
+      std::ranges::find(aDocument.mRecords, record.mHolder, &ShareRecord::mHolder);
     if (there == aDocument.mRecords.end()) {
       aDocument.mRecords.push_back(record);
     } else if (there->mSequence < record.mSequence) {
@@ -203,8 +204,8 @@
   mSights = std::move(sights);
 }
 
-// After an older state, and as a newcomer, nothing is gained from the pool until all that others
-// may have gained unseen has lapsed.
+// After an older state, and as a newcomer, nothing is gained from the pool until all that
+// others may have gained unseen has lapsed.
 void ShareHolder::Observe(const ShareDocument& aDocument, Instant aNow)
 {
   Settle(aNow);
@@ -259,13 +260,14 @@
   });
 }
 
-// A predecessor's record proves that the document is not an older one in which the floor only
-// seems to be free.
+// A predecessor's record proves that the document is not an older one in which the floor
+// only seems to be free.
 bool ShareHolder::MayStart(Instant aNow) const
 {
-  bool predecessor = std::ranges::any_of(mDocument.mRecords, [&](const ShareRecord& aRecord) {
-    return aRecord.mHolder.mAddress == mSelf.mAddress;
-  });
+  bool predecessor =
+    std::ranges::any_of(mDocument.mRecords, [&](const ShareRecord& aRecord) {
+      return aRecord.mHolder.mAddress == mSelf.mAddress;
+    });
   return predecessor || aNow - mSeenSince >= kNewcomerWait;
 }
 
--- a/src/decide/share.h
+++ b/src/decide/share.h
@@ -29,8 +29,8 @@
 constexpr Duration kPoolTerm = std::chrono::seconds(9);
 // How long a recorded floor may be used.
 constexpr Duration kFloorHold = std::chrono::hours(2);
-// A new instance takes nothing for this long, so that holders that are alive and reach the store
-// have repaired it in case it came back empty or older.
+// A new instance takes nothing for this long, so that holders that are alive and reach
+// the store have repaired it in case it came back empty or older.
 constexpr Duration kNewcomerWait = std::chrono::seconds(3);
 constexpr Duration kRenewInterval = std::chrono::seconds(2);
 // Clocks may run fast or slow by this much.
@@ -72,7 +72,8 @@
 
 struct ShareDocument
 {
-  std::uint64_t mWrites = 0; // rises with each write, so that an older state is recognised
+  std::uint64_t mWrites =
+    0; // rises with each write, so that an older state is recognised
   std::vector<ShareRecord> mRecords;
 
   static constexpr std::string_view kKey = "vanillaloft/shares";
--- a/src/decide/steer.cc
+++ b/src/decide/steer.cc
@@ -166,11 +166,12 @@
   return aOrigin == Origin::Remote ? std::min(sum, RemoteRoom(aService, aNow)) : sum;
 }
 
-std::map<std::string, unsigned> Steer::FreeSlotsByService(Instant aNow) const
+std::map<std::string, unsigned> Steer::FreeSlotsByService(Origin aOrigin,
+                                                          Instant aNow) const
 {
   std::map<std::string, unsigned> slots;
   for (std::size_t i = 0; mConfig && i < mConfig->mServices.size(); ++i) {
-    slots[mConfig->mServices[i].mName] = FreeSlots(ServiceId(i), Origin::Local, aNow);
+    slots[mConfig->mServices[i].mName] = FreeSlots(ServiceId(i), aOrigin, aNow);
   }
   return slots;
 }
@@ -209,8 +210,9 @@
   std::vector<Candidate> candidates;
   for (const Member* member : aMembers.Living(aNow)) {
     const MemberStatus& status = member->mStatus;
-    auto slots = status.mFreeSlots.find(service);
-    bool free = slots != status.mFreeSlots.end() && slots->second > 0;
+    const auto& offered = aDataCentre == mOwn ? status.mFreeSlots : status.mRemoteSlots;
+    auto slots = offered.find(service);
+    bool free = slots != offered.end() && slots->second > 0;
     if (status.mDataCentre == dataCentre && status.mReady && free) {
       candidates.push_back({ slots->second, status.mSelf.mAddress });
     }
--- a/src/decide/steer.h
+++ b/src/decide/steer.h
@@ -20,7 +20,8 @@
 constexpr Duration kHandOver = std::chrono::seconds(2);
 // A backend server that shed gets nothing for this long.
 constexpr Duration kShedPause = std::chrono::milliseconds(100);
-// An abandoned request keeps its slot for this long, because the server may still work on it.
+// An abandoned request keeps its slot for this long, because the server may still work on
+// it.
 constexpr Duration kAbandonedHold = std::chrono::seconds(5);
 // A report that is older says nothing.
 constexpr Duration kReportLife = std::chrono::seconds(10);
@@ -99,8 +100,8 @@
   unsigned FreeSlots(ServiceId aService, Origin aOrigin, Instant aNow) const;
   // Slots of the service's owned servers that take work at all.
   unsigned UsableSlots(ServiceId aService, Instant aNow) const;
-  // Free slots for other instances, by service name.
-  std::map<std::string, unsigned> FreeSlotsByService(Instant aNow) const;
+  // Free slots by service name, as other instances are told.
+  std::map<std::string, unsigned> FreeSlotsByService(Origin aOrigin, Instant aNow) const;
 
   // The instances that may take a request that this one cannot place, best first: mates
   // of the own data centre, then other data centres, same region first. A shift in force
--- a/src/entry/core.cc
+++ b/src/entry/core.cc
@@ -127,7 +127,8 @@
   status.mRevision = Config() ? Config()->mRevision : 0;
   status.mDigest = Config() ? Config()->mDigest : "";
   status.mConfirmedAge = ConfirmedAge();
-  status.mFreeSlots = mSteer.FreeSlotsByService(Now());
+  status.mFreeSlots = mSteer.FreeSlotsByService(decide::Origin::Local, Now());
+  status.mRemoteSlots = mSteer.FreeSlotsByService(decide::Origin::Remote, Now());
   return status;
 }
 
--- a/src/entry/pipeline.cc
+++ b/src/entry/pipeline.cc
@@ -12,7 +12,7 @@
 
 constexpr unsigned kPercent = 100;
 constexpr unsigned kMostRetryCredit = 10 * kPercent;
-constexpr std::size_t kMostForwards = 2; // instances tried in one delivery
+constexpr std::size_t kMostForwards = 3; // instances tried in one delivery
 constexpr std::uint64_t kBytesPerKilobyte = 1000;
 
 // Counts a request for as long as it runs, so that a planned stop can wait for it.
--- a/src/entry/relay.cc
+++ b/src/entry/relay.cc
@@ -30,6 +30,8 @@
     auto age = std::chrono::ceil<std::chrono::milliseconds>(aStatus.mConfirmedAge);
     status.set_confirmed_age_ms(static_cast<std::uint64_t>(age.count()));
   }
+  status.mutable_remote_slots()->insert(aStatus.mRemoteSlots.begin(),
+                                        aStatus.mRemoteSlots.end());
   status.mutable_free_slots()->insert(aStatus.mFreeSlots.begin(),
                                       aStatus.mFreeSlots.end());
   return status;
@@ -48,6 +50,8 @@
   if (aStatus.has_confirmed_age_ms()) {
     status.mConfirmedAge = std::chrono::milliseconds(aStatus.confirmed_age_ms());
   }
+  status.mRemoteSlots.insert(aStatus.remote_slots().begin(),
+                             aStatus.remote_slots().end());
   status.mFreeSlots.insert(aStatus.free_slots().begin(), aStatus.free_slots().end());
   return status;
 }
--- a/tests/bench/main.cc
+++ b/tests/bench/main.cc
@@ -1,5 +1,6 @@
-// The deterministic bench of the decisions: scripted demand at both deployments' sizes, without
-// network, ours beside two baselines in the same run. The signature changes only with behaviour.
+// The deterministic bench of the decisions: scripted demand at both deployments' sizes,
+// without network, ours beside two baselines in the same run. The signature changes only
+// with behaviour.
 #include <algorithm>
 #include <chrono>
 #include <fstream>
@@ -61,12 +62,14 @@
     }
     for (int i = 0; i < kInstances; ++i) {
       std::size_t centre = static_cast<std::size_t>(i) % mConfig->mDataCentres.size();
-      mWorld.AddInstance(fmt::format("{}/{}", mConfig->mDataCentres[centre].mName,
+      mWorld.AddInstance(fmt::format("{}/{}",
+                                     mConfig->mDataCentres[centre].mName,
                                      1 + static_cast<std::size_t>(i) / 6));
     }
   }
 
-  // Demand of an organisation as a part of its rate; each has its callers mostly in one place.
+  // Demand of an organisation as a part of its rate; each has its callers mostly in one
+  // place.
   void Demand(std::size_t aOrganisation, double aPart)
   {
     std::map<std::string, double> weights;
@@ -74,7 +77,8 @@
       weights[mConfig->mDataCentres[i].mName] = i == aOrganisation % 6 ? 4 : 1;
     }
     const Organisation& organisation = mConfig->mOrganisations[aOrganisation];
-    double rate = double(mConfig->mBudgets[organisation.mBudget.At()].mTotal.mPerSecond) / kToken;
+    double rate =
+      double(mConfig->mBudgets[organisation.mBudget.At()].mTotal.mPerSecond) / kToken;
     mWorld.SetDemand(organisation.mName, mSite.mService, rate * aPart, weights);
   }
 
@@ -110,8 +114,11 @@
   for (std::size_t i : { 2, 8 }) {
     aRun.mWorld.Server(aRun.Server(i)).mColdUntil = aRun.mWorld.Now() + 10s;
   }
-  std::string shift = fmt::format(R"("shifts":[{{"service":"{}","from":"{}","to":"{}","percent":20}}])",
-                                  aRun.mSite.mService, from, to);
+  std::string shift =
+    fmt::format(R"("shifts":[{{"service":"{}","from":"{}","to":"{}","percent":20}}])",
+                aRun.mSite.mService,
+                from,
+                to);
   aRun.mWorld.Change("operator", [shift](std::string aText) {
     std::size_t at = aText.find("\"shifts\"");
     std::size_t end = aText.find(']', at);
@@ -169,7 +176,8 @@
 {
   double mP50 = 0;
   double mP99 = 0;
-  double mWorstPercent = 100; // of its due, of the worst-served organisation within its rate
+  double mWorstPercent =
+    100; // of its due, of the worst-served organisation within its rate
   double mWrongfulPercent = 0;
   std::uint64_t mOvershoot = 0;
   std::uint64_t mOverruns = 0;
@@ -201,12 +209,14 @@
   figures.mOverruns = aRun.mWorld.Overruns();
   figures.mMoves = aRun.mWorld.Spilled() + aRun.mWorld.Shifted();
   for (const DataCentre& dataCentre : aRun.mConfig->mDataCentres) {
-    figures.mHeadroom += aRun.mWorld.FreeSlots(dataCentre.mName + "/1", aRun.mSite.mService);
+    figures.mHeadroom +=
+      aRun.mWorld.FreeSlots(dataCentre.mName + "/1", aRun.mSite.mService);
   }
   if (!aRun.mDrainedServer.empty()) {
     Duration time = aRun.mWorld.DrainTime(aRun.mDrainedServer);
     figures.mDrainMilliseconds =
-      time == Duration::max() ? -1 : std::chrono::duration<double, std::milli>(time).count();
+      time == Duration::max() ? -1
+                              : std::chrono::duration<double, std::milli>(time).count();
   }
   figures.mDecisionsPerSecond = double(aRun.mWorld.Decisions()) / aSeconds;
   figures.mSignature = aRun.mWorld.Signature();
@@ -245,18 +255,40 @@
   double wrongful = 0;
   double worst = 100;
   std::uint64_t signature = 0;
-  std::cout << fmt::format("{:<10}{:<16}{:<23}{:>8}{:>9}{:>8}{:>10}{:>6}{:>6}{:>7}{:>6}{:>9}{:>11}\n",
-                           "site", "case", "policy", "p50 ms", "p99 ms", "worst%", "wrongful%",
-                           "over", "overr", "moves", "free", "drain ms", "decisions/s");
+  std::cout << fmt::format(
+    "{:<10}{:<16}{:<23}{:>8}{:>9}{:>8}{:>10}{:>6}{:>6}{:>7}{:>6}{:>9}{:>11}\n",
+    "site",
+    "case",
+    "policy",
+    "p50 ms",
+    "p99 ms",
+    "worst%",
+    "wrongful%",
+    "over",
+    "overr",
+    "moves",
+    "free",
+    "drain ms",
+    "decisions/s");
   for (const Site& site : sites) {
     for (const Case& play : kCases) {
       for (const Policy& policy : kPolicies) {
         Figures f = Play(site, policy, play);
-        std::cout << fmt::format(
-          "{:<10}{:<16}{:<23}{:>8.1f}{:>9.1f}{:>8.2f}{:>10.3f}{:>6}{:>6}{:>7}{:>6}{:>9.1f}{:>11.0f}\n",
-          site.mName, play.mName, policy.mName, f.mP50, f.mP99, f.mWorstPercent,
-          f.mWrongfulPercent, f.mOvershoot, f.mOverruns, f.mMoves, f.mHeadroom,
-          f.mDrainMilliseconds, f.mDecisionsPerSecond);
+        std::cout << fmt::format("{:<10}{:<16}{:<23}{:>8.1f}{:>9.1f}{:>8.2f}{:>10.3f}{:>"
+                                 "6}{:>6}{:>7}{:>6}{:>9.1f}{:>11.0f}\n",
+                                 site.mName,
+                                 play.mName,
+                                 policy.mName,
+                                 f.mP50,
+                                 f.mP99,
+                                 f.mWorstPercent,
+                                 f.mWrongfulPercent,
+                                 f.mOvershoot,
+                                 f.mOverruns,
+                                 f.mMoves,
+                                 f.mHeadroom,
+                                 f.mDrainMilliseconds,
+                                 f.mDecisionsPerSecond);
         if (&policy == &kPolicies[0]) {
           overshoot += f.mOvershoot;
           wrongful = std::max(wrongful, f.mWrongfulPercent);
@@ -266,7 +298,11 @@
       }
     }
   }
-  std::cout << fmt::format("bench: overshoot {}, wrongful {:.3f}%, worst {:.2f}%, signature {:016x}\n",
-                           overshoot, wrongful, worst, signature);
+  std::cout << fmt::format(
+    "bench: overshoot {}, wrongful {:.3f}%, worst {:.2f}%, signature {:016x}\n",
+    overshoot,
+    wrongful,
+    worst,
+    signature);
   return overshoot == 0 ? 0 : 1;
 }
--- a/tests/explore/main.cc
+++ b/tests/explore/main.cc
@@ -1,6 +1,6 @@
-// Random schedules of faults by rapidcheck: kills, replacements, freezes, cuts, store outages and
-// racing operators in any order. What must always hold is judged after each step. Every schedule
-// is a scenario text, so a failing one can be kept as a file.
+// Random schedules of faults by rapidcheck: kills, replacements, freezes, cuts, store
+// outages and racing operators in any order. What must always hold is judged after each
+// step. Every schedule is a scenario text, so a failing one can be kept as a file.
 #include <iostream>
 #include <sstream>
 
@@ -17,7 +17,8 @@
 constexpr int kFixedSchedules = 40;
 constexpr int kLargestSchedule = 14; // faults
 
-const std::vector<std::string> kInstances = { "a1/1", "a2/1", "b1/1", "b2/1", "a1/2", "a2/2" };
+const std::vector<std::string> kInstances = { "a1/1", "a2/1", "b1/1",
+                                              "b2/1", "a1/2", "a2/2" };
 const std::vector<std::string> kCentres = { "a1", "a2", "b1", "b2" };
 
 rc::Gen<std::string> Instance()
@@ -33,12 +34,12 @@
       return fmt::format("{} {}", aWord, aInstance);
     });
   };
-  auto cut = rc::gen::map(
-    rc::gen::pair(rc::gen::elementOf(kCentres),
-                  rc::gen::element<std::string>("store", "all", "a1", "b1")),
-    [](std::pair<std::string, std::string> aEnds) {
-      return fmt::format("cut {} {}", aEnds.first, aEnds.second);
-    });
+  auto cut =
+    rc::gen::map(rc::gen::pair(rc::gen::elementOf(kCentres),
+                               rc::gen::element<std::string>("store", "all", "a1", "b1")),
+                 [](std::pair<std::string, std::string> aEnds) {
+                   return fmt::format("cut {} {}", aEnds.first, aEnds.second);
+                 });
   auto store = rc::gen::map(
     rc::gen::element<std::string>("up", "up", "down", "slow", "lose", "mark", "older"),
     [](std::string aMode) { return "store " + aMode; });
@@ -49,16 +50,30 @@
     return fmt::format("order o1 {}\norder o2 {}", aInstance, aInstance);
   });
   auto server = rc::gen::map(
-    rc::gen::pair(
-      rc::gen::element<std::string>("a1", "a2", "b1"),
-      rc::gen::element<std::string>("down", "up", "lie", "honest", "fault die-after",
-                                    "fault die-before", "fault late", "fault shed", "drain")),
+    rc::gen::pair(rc::gen::element<std::string>("a1", "a2", "b1"),
+                  rc::gen::element<std::string>("down",
+                                                "up",
+                                                "lie",
+                                                "honest",
+                                                "fault die-after",
+                                                "fault die-before",
+                                                "fault late",
+                                                "fault shed",
+                                                "drain")),
     [](std::pair<std::string, std::string> aState) {
       return fmt::format("server orders-{}-1 {}", aState.first, aState.second);
     });
-  return rc::gen::oneOf(withInstance("replace"), withInstance("freeze"), withInstance("thaw"),
-                        withInstance("thaw"), cut, rc::gen::just<std::string>("heal"), store,
-                        demand, order, server, rc::gen::just<std::string>("race 2"),
+  return rc::gen::oneOf(withInstance("replace"),
+                        withInstance("freeze"),
+                        withInstance("thaw"),
+                        withInstance("thaw"),
+                        cut,
+                        rc::gen::just<std::string>("heal"),
+                        store,
+                        demand,
+                        order,
+                        server,
+                        rc::gen::just<std::string>("race 2"),
                         rc::gen::map(Instance(), [](std::string aInstance) {
                           return fmt::format("replace {} elsewhere", aInstance);
                         }));
@@ -71,7 +86,8 @@
          "expect after-drain = 0\n";
 }
 
-std::string Schedule(const std::vector<std::pair<std::string, int>>& aFaults, unsigned aSeed)
+std::string Schedule(const std::vector<std::pair<std::string, int>>& aFaults,
+                     unsigned aSeed)
 {
   std::string text = fmt::format("seed {}\n", aSeed);
   text += "site regions 2 centres 2 instances 6\n"
--- a/tests/unit/decide.cc
+++ b/tests/unit/decide.cc
@@ -70,7 +70,9 @@
 constexpr Instant kBegin = kStart + kNewcomerWait;
 
 // A holder that has waited as a newcomer has to.
-ShareHolder Waited(const Incarnation& aSelf, const std::string& aDataCentre, ConfigPtr aConfig)
+ShareHolder Waited(const Incarnation& aSelf,
+                   const std::string& aDataCentre,
+                   ConfigPtr aConfig)
 {
   ShareHolder holder(aSelf, aDataCentre);
   holder.SetConfig(std::move(aConfig), kStart);
@@ -295,7 +297,8 @@
   CHECK_FALSE(one.HoldsPool(kBegin + HolderTerm(kPoolTerm)));
 }
 
-TEST_CASE("a successor at the same address replaces its predecessor at once, another waits")
+TEST_CASE(
+  "a successor at the same address replaces its predecessor at once, another waits")
 {
   ConfigPtr config = ParseConfig(SmallConfig());
   BudgetId budget = config->mOrganisations[0].mBudget;
--- a/tests/world/world.cc
+++ b/tests/world/world.cc
@@ -31,7 +31,7 @@
 constexpr Duration kLookUpLife = std::chrono::seconds(5);
 constexpr Duration kLate = std::chrono::seconds(3);
 constexpr std::size_t kMostAsks = 4;
-constexpr std::size_t kMostForwards = 2;
+constexpr std::size_t kMostForwards = 3;
 constexpr int kColdFactor = 5; // a cold server is slower by this factor
 constexpr const char* kConfigKey = "vanillaloft/config";
 
@@ -413,7 +413,8 @@
   status.mReady = node.mAcceptor->Current() != nullptr;
   status.mLeaving = node.mLeaving;
   status.mRevision = status.mReady ? node.mAcceptor->Current()->mRevision : 0;
-  status.mFreeSlots = node.mSteer->FreeSlotsByService(NodeNow(aNode));
+  status.mFreeSlots = node.mSteer->FreeSlotsByService(Origin::Local, NodeNow(aNode));
+  status.mRemoteSlots = node.mSteer->FreeSlotsByService(Origin::Remote, NodeNow(aNode));
   return status;
 }
 
@@ -464,8 +465,9 @@
     Exchange(aNode, peer, [this, aNode, generation, peer, status] {
       HearBeat(peer, aNode, status);
       MemberStatus reply = StatusOf(peer);
-      Reply(peer, aNode, generation,
-            [this, aNode, peer, reply] { HearBeat(aNode, peer, reply); });
+      Reply(peer, aNode, generation, [this, aNode, peer, reply] {
+        HearBeat(aNode, peer, reply);
+      });
     });
   }
   OnNode(aNode, node.mGeneration, kBeatInterval, [this, aNode] { Beat(aNode); });
@@ -571,7 +573,8 @@
                           NodeNow(aNode));
     auto planned = self.mShares->Plan(NodeNow(aNode));
     if (!planned) {
-      bool member = self.mShares->OtherHolderAlive(NodeNow(aNode)) && !self.mShares->IsHolder();
+      bool member =
+        self.mShares->OtherHolderAlive(NodeNow(aNode)) && !self.mShares->IsHolder();
       again(member ? kMemberRead : kRenewInterval);
       return;
     }
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -220,7 +220,10 @@
                  std::string aText,
                  std::function<void(std::optional<bool>)> aDone);
   void Exchange(std::size_t aFrom, std::size_t aTo, Action aAtReceiver);
-  void Reply(std::size_t aFrom, std::size_t aTo, std::uint64_t aToGeneration, Action aAtReceiver);
+  void Reply(std::size_t aFrom,
+             std::size_t aTo,
+             std::uint64_t aToGeneration,
+             Action aAtReceiver);
   MemberStatus StatusOf(std::size_t aNode) const;
   void HearBeat(std::size_t aNode, std::size_t aFrom, const MemberStatus& aStatus);
 
--- a/tools/process.sh
+++ b/tools/process.sh
@@ -147,6 +147,29 @@
 highest=$(revision_of e1)
 expect race-each-win-is-a-revision "$((3 + won))" "$highest"
 
+# The other commands of docs/OPERATIONS.md.
+ctl issue-key grocer late demo-key-late >"$LOGS/issue.txt"
+verdict issued-key-in-force $?
+expect issued-key ok "$(ask e2 /stock/x -H 'Authorization: Bearer demo-key-late')"
+ctl shift stock east-1 east-2 51 >"$LOGS/shift.txt" 2>&1
+expect shift-above-cap-is-refused 1 $?
+ctl shift stock east-1 east-2 20 >"$LOGS/shift.txt" 2>&1
+verdict shift $?
+before=$(revision_of e1)
+ctl rollback "$((before - 1))" >"$LOGS/rollback.txt" 2>&1
+verdict rollback-is-a-new-revision $?
+expect rollback-revision "$((before + 1))" "$(revision_of e1)"
+ctl diff "$LOGS/config.json" | grep -q late
+verdict diff-shows-the-issued-key $?
+ctl history | grep -q "$((before + 1)) .* current"
+verdict history $?
+ctl state "${ADMIN[e1]}" | grep -q held_per_s
+verdict state $?
+ctl --output json status | python3 -c 'import json,sys; sys.exit(0 if len(json.load(sys.stdin)) == 4 else 1)'
+verdict status-json $?
+"$BUILD/src/vanillaloft" check tests/scenarios/steady.scn 2>"$LOGS/check.txt"
+expect check-refuses 1 $?
+
 # Frozen and woken: the instance's callers are served by others, nothing runs twice.
 wait_ready e1 e2 e3 w1
 kill -STOP "${PID[e1]}"
