Runbooks, readiness that waits for shares, tests for every library

Heartbeats tell who holds shares, so an instance replaced during an outage of the store finds them too.

Runbooks run now: state in the store, a lease by the unchanged document, shifts that ramp and hold, pause, resume, abort with undo, refused beforehand where a drain would leave too few slots.

--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -17,9 +17,10 @@
             "stopping",
             "A planned stop began; look-ups no longer name the instance." },
   EventRow{ Event::Stopped, "stopped", "The planned stop is complete." },
-  EventRow{ Event::Ready,
-            "ready",
-            "The instance has a configuration and answers look-ups." },
+  EventRow{
+    Event::Ready,
+    "ready",
+    "The instance has a configuration, knows a holder of shares and answers look-ups." },
   EventRow{ Event::ConfigurationInForce,
             "configuration-in-force",
             "A revision came into force." },
--- a/src/daemon/loops.cc
+++ b/src/daemon/loops.cc
@@ -56,12 +56,18 @@
 
 Awaitable<void> Loops::Tick()
 {
+  bool wasReady = false;
   for (;;) {
     if (mCore.Config()) {
       mCore.mSteer.Beat(mCore.mMembers, mCore.mLeaving, mCore.Now());
       mLookUps.Rebuild();
       mAdmission.ServeWaiters();
     }
+    if (mCore.IsReady() && !wasReady) {
+      Log(
+        spdlog::level::info, Event::Ready, "data_centre={}", mCore.mSettings.mDataCentre);
+    }
+    wasReady = mCore.IsReady();
     co_await Sleep(kTick);
   }
 }
@@ -220,8 +226,9 @@
     if (mCore.Config()) {
       try {
         bool done = co_await RenewOnce();
-        Duration regular =
-          mCore.mShares.IsHolder() ? decide::kRenewInterval : kMemberRead;
+        bool member =
+          mCore.mShares.OtherHolderAlive(mCore.Now()) && !mCore.mShares.IsHolder();
+        Duration regular = member ? kMemberRead : decide::kRenewInterval;
         pause = done ? regular : kConflictPause;
       } catch (const std::exception& error) {
         spdlog::debug("shares not renewed: {}", error.what());
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -11,6 +11,7 @@
 
 #include "base/settings.h"
 #include "daemon/loops.h"
+#include "daemon/runner.h"
 #include "entry/session.h"
 #include "store/http.h"
 
@@ -107,7 +108,9 @@
   peer::Server peers(context, relay, settings.mPeerAddress);
   listener.Open(settings.mListen);
   listener.OpenAdmin(admin);
+  daemon::Runner runner(core, store);
   loops.Start();
+  boost::asio::co_spawn(context, runner.Loop(), boost::asio::detached);
   boost::asio::signal_set signals(context, SIGTERM, SIGINT);
   signals.async_wait([&](const boost::system::error_code&, int) {
     boost::asio::co_spawn(
--- a/src/decide/member.cc
+++ b/src/decide/member.cc
@@ -69,6 +69,20 @@
   return living;
 }
 
+void Members::AddHolders(std::vector<std::string>& aAddresses, Instant aNow) const
+{
+  for (bool here : { true, false }) {
+    for (const Member* member : Living(aNow)) {
+      const MemberStatus& status = member->mStatus;
+      const std::string& address = status.mSelf.mAddress;
+      bool wanted = status.mHoldsShares && (status.mDataCentre == mDataCentre) == here;
+      if (wanted && std::ranges::find(aAddresses, address) == aAddresses.end()) {
+        aAddresses.push_back(address);
+      }
+    }
+  }
+}
+
 std::vector<std::string> Members::Neighbours() const
 {
   std::vector<std::string> all;
--- a/src/decide/member.h
+++ b/src/decide/member.h
@@ -25,6 +25,7 @@
   std::string mEntryAddress; // "ip:port" for callers
   bool mReady = false;
   bool mLeaving = false;
+  bool mHoldsShares = false; // can be asked for tokens
   Revision mRevision = 0;
   std::string mDigest;
   Duration mConfirmedAge = Duration::max();     // since the store confirmed the revision
@@ -62,6 +63,10 @@
   {
     return Find(aAddress) && !Alive(aAddress, aNow);
   }
+  // Adds the living members that hold shares to a list of addresses to ask for tokens,
+  // those of this data centre first. So an instance that cannot read the store finds
+  // them, too.
+  void AddHolders(std::vector<std::string>& aAddresses, Instant aNow) const;
   // Living members other than this one, in order of address.
   std::vector<const Member*> Living(Instant aNow) const;
   // Addresses that get heartbeats: all of the own data centre, and of the others the
--- /dev/null
+++ b/src/decide/runbook.cc
@@ -0,0 +1,302 @@
+#include "decide/runbook.h"
+
+#include <algorithm>
+#include <array>
+#include <set>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace vanillaloft::decide {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+// Requests in flight may fill at most this part of the slots that a runbook leaves.
+constexpr unsigned kMostUsedPercent = 80;
+
+constexpr std::array<std::string_view, 5> kStateNames = { "running",
+                                                          "paused",
+                                                          "aborting",
+                                                          "done",
+                                                          "aborted" };
+
+Json KeptShifts(const Json& aShifts, const SteeringChange& aChange)
+{
+  Json kept = Json::array();
+  for (const Json& shift : aShifts) {
+    bool same = shift.value("service", "") == aChange.mService &&
+                shift.value("from", "") == aChange.mFrom;
+    if (!same) {
+      kept.push_back(shift);
+    }
+  }
+  return kept;
+}
+
+void ApplyChange(Json& aSteering, const SteeringChange& aChange)
+{
+  if (aChange.mAction == Action::Shift) {
+    Json shifts = KeptShifts(aSteering["shifts"], aChange);
+    if (aChange.mPercent != 0) {
+      shifts.push_back({ { "service", aChange.mService },
+                         { "from", aChange.mFrom },
+                         { "to", aChange.mTo },
+                         { "percent", aChange.mPercent } });
+    }
+    aSteering["shifts"] = shifts;
+    return;
+  }
+  Json drained = Json::array();
+  for (const Json& name : aSteering["drained"]) {
+    if (name != aChange.mTarget) {
+      drained.push_back(name);
+    }
+  }
+  if (aChange.mAction == Action::Drain) {
+    drained.push_back(aChange.mTarget);
+  }
+  aSteering["drained"] = drained;
+}
+
+std::string Stamped(Json aConfig, Revision aRevision, const std::string& aOperation)
+{
+  std::string previous = aConfig.value("operation", "");
+  aConfig["revision"] = aRevision;
+  aConfig["operation"] = aOperation;
+  if (!previous.empty()) {
+    aConfig["previous"] = previous;
+  }
+  return aConfig.dump(2) + "\n";
+}
+
+void NextStep(Run& aRun, std::string aNote)
+{
+  aRun.mStep += 1;
+  aRun.mPercent = 0;
+  aRun.mElapsed = {};
+  aRun.mNote = std::move(aNote);
+}
+
+void AdvanceShift(Advance& aAdvance,
+                  const Step& aStep,
+                  const Config& aConfig,
+                  const RunView& aView)
+{
+  Run& run = aAdvance.mNext;
+  unsigned wanted = aStep.mShift.mPercent;
+  if (!aView.mInForceEverywhere) {
+    run.mNote = "shift held: the last change is not confirmed everywhere";
+    return;
+  }
+  bool grows = run.mPercent < wanted;
+  if (grows && aView.mReceiverFree == 0) {
+    run.mNote =
+      fmt::format("shift held at {}%: the receiver offers no free slot", run.mPercent);
+    return;
+  }
+  run.mPercent = std::min(run.mPercent + kShiftStepPercent, wanted);
+  SteeringChange change;
+  change.mAction = Action::Shift;
+  change.mService = aConfig.mServices[aStep.mShift.mService.At()].mName;
+  change.mFrom = aConfig.mDataCentres[aStep.mShift.mFrom.At()].mName;
+  change.mTo = aConfig.mDataCentres[aStep.mShift.mTo.At()].mName;
+  change.mPercent = run.mPercent;
+  aAdvance.mChange = change;
+  if (run.mPercent >= wanted) {
+    NextStep(run, fmt::format("shifted {}%", wanted));
+  } else {
+    run.mNote = fmt::format("shifting: {}% of {}%", run.mPercent, wanted);
+  }
+}
+
+void AdvanceWait(Run& aRun, const Step& aStep, const RunView& aView)
+{
+  aRun.mElapsed += aView.mSinceLast;
+  if (aRun.mElapsed >= aStep.mWait) {
+    NextStep(aRun, "waited");
+    return;
+  }
+  auto left = std::chrono::ceil<std::chrono::seconds>(aStep.mWait - aRun.mElapsed);
+  aRun.mNote = fmt::format("waiting {} s more", left.count());
+}
+
+void AdvanceStep(Advance& aAdvance,
+                 const Step& aStep,
+                 const Config& aConfig,
+                 const RunView& aView)
+{
+  Run& run = aAdvance.mNext;
+  switch (aStep.mAction) {
+    case Action::Drain:
+    case Action::Undrain:
+      aAdvance.mChange = SteeringChange{ aStep.mAction, aStep.mTarget, "", "", "", 0 };
+      NextStep(run,
+               fmt::format("{} {}",
+                           aStep.mAction == Action::Drain ? "drained" : "undrained",
+                           aStep.mTarget));
+      break;
+    case Action::Shift:
+      AdvanceShift(aAdvance, aStep, aConfig, aView);
+      break;
+    case Action::Pause:
+      run.mState = RunState::Paused;
+      NextStep(run, "paused by the runbook; resume to go on");
+      break;
+    case Action::Wait:
+      AdvanceWait(run, aStep, aView);
+      break;
+    case Action::Check:
+      if (aView.mInForceEverywhere) {
+        NextStep(run, "checked: in force everywhere");
+      } else {
+        run.mNote = "check held: the revision is not confirmed everywhere";
+      }
+      break;
+  }
+}
+
+} // namespace
+
+std::string SteeringOf(const std::string& aText)
+{
+  Json config = Json::parse(aText);
+  return config.contains("steering") ? config["steering"].dump() : "{}";
+}
+
+std::string EditSteering(const std::string& aText,
+                         const SteeringChange& aChange,
+                         Revision aRevision,
+                         const std::string& aOperation)
+{
+  Json config = Json::parse(aText);
+  ApplyChange(config["steering"], aChange);
+  return Stamped(std::move(config), aRevision, aOperation);
+}
+
+std::string RestoreSteering(const std::string& aText,
+                            const std::string& aSteering,
+                            Revision aRevision,
+                            const std::string& aOperation)
+{
+  Json config = Json::parse(aText);
+  config["steering"] = Json::parse(aSteering);
+  return Stamped(std::move(config), aRevision, aOperation);
+}
+
+std::string_view Name(RunState aState)
+{
+  return kStateNames.at(static_cast<std::size_t>(aState));
+}
+
+Run Run::Parse(std::string_view aText)
+{
+  Json value = Json::parse(aText);
+  Run run;
+  run.mId = value.at("id").get<std::string>();
+  run.mRunbook = value.at("runbook").get<std::string>();
+  auto state = std::ranges::find(kStateNames, value.at("state").get<std::string>());
+  run.mState = static_cast<RunState>(state - kStateNames.begin());
+  run.mStep = value.at("step").get<std::size_t>();
+  run.mPercent = value.at("percent").get<unsigned>();
+  run.mElapsed = std::chrono::milliseconds(value.at("elapsed_ms").get<long>());
+  run.mNote = value.at("note").get<std::string>();
+  run.mUndo = value.at("undo").get<std::string>();
+  run.mRunner.mAddress = value.at("runner").get<std::string>();
+  run.mRunner.mStart = value.at("start").get<std::uint64_t>();
+  run.mSequence = value.at("sequence").get<std::uint64_t>();
+  if (state == kStateNames.end()) {
+    throw std::runtime_error("the run has an unknown state");
+  }
+  return run;
+}
+
+std::string Run::Text() const
+{
+  auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(mElapsed);
+  return Json{
+    { "id", mId },
+    { "runbook", mRunbook },
+    { "state", Name(mState) },
+    { "step", mStep },
+    { "percent", mPercent },
+    { "elapsed_ms", elapsed.count() },
+    { "note", mNote },
+    { "undo", mUndo },
+    { "runner", mRunner.mAddress },
+    { "start", mRunner.mStart },
+    { "sequence", mSequence }
+  }.dump();
+}
+
+Advance AdvanceRun(const Run& aRun, const Config& aConfig, const RunView& aView)
+{
+  Advance advance{ aRun, std::nullopt, false };
+  if (aRun.mState == RunState::Aborting) {
+    advance.mRestore = true;
+    advance.mNext.mState = RunState::Aborted;
+    advance.mNext.mNote = "aborted: the steering from before the run is back";
+    return advance;
+  }
+  if (aRun.mState != RunState::Running) {
+    return advance;
+  }
+  auto runbook = std::ranges::find(aConfig.mRunbooks, aRun.mRunbook, &Runbook::mName);
+  if (runbook == aConfig.mRunbooks.end()) {
+    advance.mNext.mNote = "held: the configuration has no such runbook any more";
+    return advance;
+  }
+  if (aRun.mStep >= runbook->mSteps.size()) {
+    advance.mNext.mState = RunState::Done;
+    advance.mNext.mNote = "done";
+    return advance;
+  }
+  AdvanceStep(advance, runbook->mSteps[aRun.mStep], aConfig, aView);
+  return advance;
+}
+
+// Plays the drains of the runbook through: at no step may a service be left with fewer
+// slots than it needs now.
+std::string RefuseRunbook(const Config& aConfig,
+                          const Runbook& aRunbook,
+                          const std::vector<unsigned>& aInFlight)
+{
+  std::set<std::string> drained;
+  auto left = [&](ServiceId aService) {
+    unsigned slots = 0;
+    for (const BackendServer& server : aConfig.mBackendServers) {
+      const std::string& centre = aConfig.mDataCentres[server.mDataCentre.At()].mName;
+      bool gone =
+        server.mDrained || drained.contains(server.mName) || drained.contains(centre);
+      slots += server.mService == aService && !gone ? server.mSlots : 0;
+    }
+    return slots;
+  };
+  for (std::size_t step = 0; step < aRunbook.mSteps.size(); ++step) {
+    const Step& entry = aRunbook.mSteps[step];
+    if (entry.mAction == Action::Drain) {
+      drained.insert(entry.mTarget);
+    } else if (entry.mAction == Action::Undrain) {
+      drained.erase(entry.mTarget);
+    }
+    for (std::size_t i = 0; i < aConfig.mServices.size(); ++i) {
+      unsigned slots = left(ServiceId(i));
+      unsigned inFlight = i < aInFlight.size() ? aInFlight[i] : 0;
+      if (entry.mAction == Action::Drain && inFlight * 100 >= slots * kMostUsedPercent) {
+        return fmt::format(
+          "step {} (drain {}) leaves service {} with {} slots for {} requests in "
+          "flight; at most {}% may be used",
+          step + 1,
+          entry.mTarget,
+          aConfig.mServices[i].mName,
+          slots,
+          inFlight,
+          kMostUsedPercent);
+      }
+    }
+  }
+  return {};
+}
+
+} // namespace vanillaloft::decide
--- a/src/entry/core.cc
+++ b/src/entry/core.cc
@@ -92,12 +92,21 @@
             Config()->mRevision,
             Config()->mDigest);
   if (first) {
-    base::Log(
-      spdlog::level::info, base::Event::Ready, "data_centre={}", mSettings.mDataCentre);
+    mConfiguredAt = Now();
   }
   return offer;
 }
 
+bool Core::IsReady() const
+{
+  if (!Config() || mStopped) {
+    return false;
+  }
+  std::vector<std::string> holders;
+  mMembers.AddHolders(holders, Now());
+  return mShares.IsHolder() || !holders.empty() || Now() - mConfiguredAt >= kHolderWait;
+}
+
 void Core::Confirm(Duration aAge)
 {
   mConfirmedAt = std::max(mConfirmedAt, Now() - aAge);
@@ -124,6 +133,7 @@
     mSettings.mListen.mHost + ":" + std::to_string(mSettings.mListen.mPort);
   status.mReady = IsReady();
   status.mLeaving = mLeaving;
+  status.mHoldsShares = mShares.IsHolder();
   status.mRevision = Config() ? Config()->mRevision : 0;
   status.mDigest = Config() ? Config()->mDigest : "";
   status.mConfirmedAge = ConfirmedAge();
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -35,6 +35,10 @@
 // Without confirmation for longer, withdrawals may have been missed.
 constexpr Duration kConfirmationLife = std::chrono::seconds(3);
 
+// An instance that knows no holder of shares waits this long before it serves all the
+// same, what needs no tokens.
+constexpr Duration kHolderWait = std::chrono::seconds(10);
+
 // Settings of one instance, checked at its start.
 struct InstanceSettings
 {
@@ -87,8 +91,9 @@
   Duration ConfirmedAge() const;
   // True while a withdrawal may have been accepted without reaching this instance.
   bool KeysUnconfirmed() const;
-  // True once requests can be served.
-  bool IsReady() const { return Config() != nullptr && !mStopped; }
+  // True once requests can be served: the configuration is in force and a holder of
+  // shares is known, or none became known for kHolderWait.
+  bool IsReady() const;
 
   decide::MemberStatus Status() const;
 
@@ -110,6 +115,7 @@
   base::Incarnation mSelf;
   decide::Acceptor mAcceptor;
   Instant mConfirmedAt{};
+  Instant mConfiguredAt{};
 };
 
 } // namespace vanillaloft::entry
--- a/src/entry/relay.cc
+++ b/src/entry/relay.cc
@@ -24,6 +24,7 @@
   status.set_entry_address(aStatus.mEntryAddress);
   status.set_ready(aStatus.mReady);
   status.set_leaving(aStatus.mLeaving);
+  status.set_holds_shares(aStatus.mHoldsShares);
   status.set_revision(aStatus.mRevision);
   status.set_digest(aStatus.mDigest);
   if (aStatus.mConfirmedAge != Duration::max()) {
@@ -45,6 +46,7 @@
   status.mEntryAddress = aStatus.entry_address();
   status.mReady = aStatus.ready();
   status.mLeaving = aStatus.leaving();
+  status.mHoldsShares = aStatus.holds_shares();
   status.mRevision = aStatus.revision();
   status.mDigest = aStatus.digest();
   if (aStatus.has_confirmed_age_ms()) {
--- a/tests/unit/decide.cc
+++ b/tests/unit/decide.cc
@@ -10,6 +10,7 @@
 #include "decide/fair.h"
 #include "decide/lookup.h"
 #include "decide/member.h"
+#include "decide/runbook.h"
 #include "decide/share.h"
 #include "decide/steer.h"
 #include "decide/ticket.h"
@@ -66,6 +67,21 @@
   return status;
 }
 
+// Choices of an instance that has owned the servers of d1 for long enough to send to
+// them; the first aServing of them serve.
+Steer OwningSteer(const Members& aMembers, std::size_t aServing)
+{
+  Steer steer("d1");
+  steer.SetConfig(ParseConfig(SmallConfig()), kStart);
+  for (std::size_t i = 0; i < aServing; ++i) {
+    steer.Report(BackendServerId(i), ServerState::Serving, kStart);
+  }
+  for (Instant beat = kStart; beat <= kStart + kHandOver; beat += 500ms) {
+    steer.Beat(aMembers, false, beat);
+  }
+  return steer;
+}
+
 // A time at which an instance that looked at the empty document at kStart may begin.
 constexpr Instant kBegin = kStart + kNewcomerWait;
 
@@ -444,14 +460,8 @@
 
 TEST_CASE("remote requests get only their part of the slots")
 {
-  Steer steer("d1");
-  steer.SetConfig(ParseConfig(SmallConfig()), kStart);
   Members members("d1:1", "d1");
-  steer.Report(BackendServerId(0), ServerState::Serving, kStart);
-  steer.Report(BackendServerId(1), ServerState::Serving, kStart);
-  for (Instant beat = kStart; beat <= kStart + kHandOver; beat += 500ms) {
-    steer.Beat(members, false, beat);
-  }
+  Steer steer = OwningSteer(members, 2);
   Instant now = kStart + kHandOver;
   CHECK(steer.Acquire(ServiceId(0), Origin::Remote, now));
   CHECK(steer.Acquire(ServiceId(0), Origin::Remote, now));
@@ -461,13 +471,8 @@
 
 TEST_CASE("a process that was frozen sends nothing before its next beat")
 {
-  Steer steer("d1");
-  steer.SetConfig(ParseConfig(SmallConfig()), kStart);
   Members members("d1:1", "d1");
-  steer.Report(BackendServerId(0), ServerState::Serving, kStart);
-  for (Instant beat = kStart; beat <= kStart + kHandOver; beat += 500ms) {
-    steer.Beat(members, false, beat);
-  }
+  Steer steer = OwningSteer(members, 1);
   Instant woken = kStart + 60s;
   CHECK_FALSE(steer.Acquire(ServiceId(0), Origin::Local, woken));
   steer.Beat(members, false, woken);
@@ -476,13 +481,8 @@
 
 TEST_CASE("a slot survives a change of the configuration")
 {
-  Steer steer("d1");
-  steer.SetConfig(ParseConfig(SmallConfig()), kStart);
   Members members("d1:1", "d1");
-  steer.Report(BackendServerId(0), ServerState::Serving, kStart);
-  for (Instant beat = kStart; beat <= kStart + kHandOver; beat += 500ms) {
-    steer.Beat(members, false, beat);
-  }
+  Steer steer = OwningSteer(members, 1);
   auto slot = steer.Acquire(ServiceId(0), Origin::Local, kStart + kHandOver);
   REQUIRE(slot);
   steer.SetConfig(ParseConfig(SmallConfig(2, 100, 3)), kStart + kHandOver);
@@ -533,3 +533,126 @@
   }
   CHECK(members.Neighbours().size() == 25 + 2 * 7);
 }
+
+namespace {
+
+std::string RunbookConfig()
+{
+  std::string text = SmallConfig();
+  text.pop_back();
+  return text + R"(,"runbooks":[{"name":"book","steps":[{"do":"check"},
+    {"do":"shift","service":"s","from":"d1","to":"d2","percent":12},{"do":"wait","seconds":4},
+    {"do":"drain","target":"b1"},{"do":"pause"},{"do":"undrain","target":"b1"}]},
+    {"name":"all","steps":[{"do":"drain","target":"b1"},{"do":"drain","target":"d1"}]}]})";
+}
+
+RunView GoodView()
+{
+  RunView view;
+  view.mSinceLast = kRunInterval;
+  view.mReceiverFree = 3;
+  view.mInForceEverywhere = true;
+  return view;
+}
+
+Run StartedRun()
+{
+  Run run;
+  run.mId = "r1";
+  run.mRunbook = "book";
+  return run;
+}
+
+} // namespace
+
+TEST_CASE("a runbook goes through its steps one change at a time")
+{
+  ConfigPtr config = ParseConfig(RunbookConfig());
+  Run run = StartedRun();
+  std::vector<unsigned> percents;
+  std::vector<std::string> drains;
+  for (int i = 0; i < 20 && run.IsOpen(); ++i) {
+    run.mState = RunState::Running; // an operator resumes whatever pauses
+    Advance advance = AdvanceRun(run, *config, GoodView());
+    if (advance.mChange && advance.mChange->mAction == Action::Shift) {
+      percents.push_back(advance.mChange->mPercent);
+    } else if (advance.mChange) {
+      drains.push_back(advance.mChange->mTarget);
+    }
+    run = advance.mNext;
+  }
+  CHECK(run.mState == RunState::Done);
+  CHECK(percents == std::vector<unsigned>{ 5, 10, 12 });
+  CHECK(drains == std::vector<std::string>{ "b1", "b1" });
+}
+
+TEST_CASE("a shift holds and says why")
+{
+  ConfigPtr config = ParseConfig(RunbookConfig());
+  Run run = StartedRun();
+  run.mStep = 1;
+  run.mPercent = 5;
+  RunView full = GoodView();
+  full.mReceiverFree = 0;
+  Advance held = AdvanceRun(run, *config, full);
+  CHECK_FALSE(held.mChange);
+  CHECK(held.mNext.mNote == "shift held at 5%: the receiver offers no free slot");
+  RunView unconfirmed = GoodView();
+  unconfirmed.mInForceEverywhere = false;
+  CHECK_FALSE(AdvanceRun(run, *config, unconfirmed).mChange);
+  CHECK(AdvanceRun(run, *config, unconfirmed).mNext.mNote.starts_with("shift held"));
+}
+
+TEST_CASE("a paused run does nothing and an aborted one puts the steering back")
+{
+  ConfigPtr config = ParseConfig(RunbookConfig());
+  Run run = StartedRun();
+  run.mState = RunState::Paused;
+  CHECK(AdvanceRun(run, *config, GoodView()).mNext.mStep == 0);
+  run.mState = RunState::Aborting;
+  Advance advance = AdvanceRun(run, *config, GoodView());
+  CHECK(advance.mRestore);
+  CHECK(advance.mNext.mState == RunState::Aborted);
+}
+
+TEST_CASE("a runbook that would overload a service is refused with the figures")
+{
+  ConfigPtr config = ParseConfig(RunbookConfig());
+  CHECK(RefuseRunbook(*config, config->mRunbooks[0], { 1 }).empty());
+  CHECK(RefuseRunbook(*config, config->mRunbooks[0], { 2 }) ==
+        "step 4 (drain b1) leaves service s with 2 slots for 2 requests in flight; at "
+        "most 80% may "
+        "be used");
+  CHECK(
+    RefuseRunbook(*config, config->mRunbooks[1], { 0 }).starts_with("step 2 (drain d1)"));
+}
+
+TEST_CASE("steering is edited idempotently and restored whole")
+{
+  std::string text = RunbookConfig();
+  std::string before = SteeringOf(text);
+  SteeringChange drain{ Action::Drain, "b1", "", "", "", 0 };
+  std::string once = EditSteering(text, drain, 2, "op1");
+  std::string twice = EditSteering(once, drain, 3, "op2");
+  CHECK(SteeringOf(once) == SteeringOf(twice));
+  CHECK(ParseConfig(once)->mBackendServers[0].mDrained);
+  CHECK(twice.find("\"previous\": \"op1\"") != std::string::npos);
+  std::string restored = RestoreSteering(twice, before, 4, "op3");
+  CHECK_FALSE(ParseConfig(restored)->mBackendServers[0].mDrained);
+  SteeringChange shift{ Action::Shift, "", "s", "d1", "d2", 20 };
+  std::string shifted = EditSteering(text, shift, 2, "op");
+  REQUIRE(ParseConfig(shifted)->mShifts.size() == 1);
+  shift.mPercent = 0;
+  CHECK(ParseConfig(EditSteering(shifted, shift, 3, "op"))->mShifts.empty());
+}
+
+TEST_CASE("a run survives its text form")
+{
+  Run run = StartedRun();
+  run.mState = RunState::Paused;
+  run.mElapsed = 1500ms;
+  run.mRunner = { "127.0.0.1:1", 9 };
+  run.mUndo = "{\"drained\":[]}";
+  CHECK(Run::Parse(run.Text()).Text() == run.Text());
+  CHECK_THROWS(Run::Parse("{}"));
+}
--- /dev/null
+++ b/tests/unit/entry.cc
@@ -0,0 +1,171 @@
+// Tests of the package entry, with a paused clock.
+#include <doctest/doctest.h>
+
+#include <fmt/format.h>
+
+#include "base/clock.h"
+#include "canned.h"
+#include "entry/dump.h"
+#include "entry/lookup.h"
+#include "entry/pipeline.h"
+
+using namespace vanillaloft;
+using namespace vanillaloft::entry;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string ConfigText(unsigned aRevision, const std::string& aKey)
+{
+  return fmt::format(
+    R"({{"revision":{},"regions":[{{"name":"r","data_centres":["d1","d2"]}}],
+    "organisations":[
+      {{"name":"strict","rate_per_s":100,"burst":40,"isolated_keys":"refuse",
+        "keys":[{{"id":"k","sha256":"{}"}}]}},
+      {{"name":"lenient","rate_per_s":100,"burst":40,"keys":[{{"id":"k","sha256":"{}"}}]}}],
+    "profiles":[{{"name":"p"}}],
+    "services":[{{"name":"s","profile":"p","routes":[{{"path":"/s/","kind":"lookup"}},
+      {{"path":"/open","kind":"open"}},{{"path":"/order","kind":"order"}}],
+      "backend_servers":[]}}]}})",
+    aRevision,
+    decide::DigestText(aKey),
+    decide::DigestText("lenient key"));
+}
+
+struct Fixture
+{
+  boost::asio::io_context mContext;
+  base::ManualClock mClock;
+  Core mCore{ mContext,
+              mClock,
+              { "d1", { "127.0.0.1", 1 }, "127.0.0.1:2", {}, "", 30s, 10s, 60s },
+              { "127.0.0.1:2", 7 },
+              "secret" };
+  Admission mAdmission{ mCore };
+  Backend mBackend{ mCore };
+  Pipeline mPipeline{ mCore, mAdmission, mBackend };
+  LookUps mLookUps{ mCore, mPipeline };
+
+  Fixture()
+  {
+    mCore.Accept(decide::ParseConfig(ConfigText(1, "strict key")));
+    mClock.Advance(kHolderWait);
+  }
+
+  Result ResultOf(const std::string& aMethod,
+                  const std::string& aTarget,
+                  const std::string& aKey,
+                  const std::string& aTicket = "")
+  {
+    Exchange exchange;
+    exchange.mMethod = aMethod;
+    exchange.mTarget = aTarget;
+    exchange.mHasKey = !aKey.empty();
+    exchange.mKey = aKey;
+    exchange.mTicket = aTicket;
+    exchange.mArrival = mClock.Now();
+    return test::Finish(mContext, mPipeline.Serve(std::move(exchange))).mResult;
+  }
+};
+
+Result IdentifyResult(const Fixture& aFixture, const std::string& aKey)
+{
+  try {
+    aFixture.mPipeline.Identify(aKey);
+    return Result::Ok;
+  } catch (const base::RequestError& error) {
+    return error.Code();
+  }
+}
+
+} // namespace
+
+TEST_CASE("keys are refused as unconfirmed only where set, cut off and unconfirmed")
+{
+  Fixture fixture;
+  fixture.mCore.mMembers.AddAddress("127.0.0.1:3", "d2");
+  fixture.mCore.Confirm(0s);
+  CHECK(IdentifyResult(fixture, "strict key") == Result::Ok);
+  fixture.mClock.Advance(kConfirmationLife + 1ms);
+  CHECK(IdentifyResult(fixture, "strict key") == Result::KeysUnconfirmed);
+  CHECK(IdentifyResult(fixture, "lenient key") == Result::Ok);
+  decide::MemberStatus other;
+  other.mSelf = { "127.0.0.1:3", 1 };
+  other.mDataCentre = "d2";
+  fixture.mCore.mMembers.Heard(other, fixture.mClock.Now());
+  CHECK(IdentifyResult(fixture, "strict key") == Result::Ok);
+}
+
+TEST_CASE("an instance is not ready before it knows a holder of shares, but not for ever")
+{
+  Fixture fixture;
+  Core fresh(
+    fixture.mContext, fixture.mClock, fixture.mCore.mSettings, { "127.0.0.1:2", 8 }, "x");
+  CHECK_FALSE(fresh.IsReady());
+  fresh.Accept(decide::ParseConfig(ConfigText(1, "strict key")));
+  CHECK_FALSE(fresh.IsReady());
+  decide::MemberStatus holder;
+  holder.mSelf = { "127.0.0.1:3", 1 };
+  holder.mDataCentre = "d2";
+  holder.mHoldsShares = true;
+  fresh.mMembers.Heard(holder, fixture.mClock.Now());
+  CHECK(fresh.IsReady());
+  fixture.mClock.Advance(decide::kMemberTimeout);
+  CHECK_FALSE(fresh.IsReady());
+  fixture.mClock.Advance(kHolderWait);
+  CHECK(fresh.IsReady());
+}
+
+TEST_CASE("a withdrawn key is refused at the next request")
+{
+  Fixture fixture;
+  CHECK(IdentifyResult(fixture, "strict key") == Result::Ok);
+  fixture.mCore.Accept(decide::ParseConfig(ConfigText(2, "new key")));
+  CHECK(IdentifyResult(fixture, "strict key") == Result::KeyUnknown);
+  CHECK(IdentifyResult(fixture, "new key") == Result::Ok);
+}
+
+TEST_CASE("each refusal has its numbered result")
+{
+  Fixture fixture;
+  CHECK(fixture.ResultOf("GET", "/nowhere", "lenient key") == Result::UnknownRoute);
+  CHECK(fixture.ResultOf("GET", "/s/x", "") == Result::KeyMissing);
+  CHECK(fixture.ResultOf("GET", "/s/x", "wrong") == Result::KeyUnknown);
+  CHECK(fixture.ResultOf("GET", "/order", "lenient key") == Result::MethodNotAllowed);
+  CHECK(fixture.ResultOf("DELETE", "/s/x", "lenient key") == Result::MethodNotAllowed);
+  CHECK(fixture.ResultOf("GET", "/open", "") == Result::NoBackendServer);
+  fixture.mCore.mStopped = true;
+  CHECK(fixture.ResultOf("GET", "/open", "") == Result::NotReady);
+}
+
+TEST_CASE("a leaving instance issues no tickets")
+{
+  Fixture fixture;
+  fixture.mLookUps.Rebuild();
+  net::Request request(
+    boost::beast::http::verb::get, "/v1/lookup?service=s&tickets=2", net::kHttp11);
+  CHECK(fixture.mLookUps.Answer(request, 0, "lenient key").find("v1~") !=
+        std::string::npos);
+  CHECK(fixture.mCore.mLedger.Size() == 2);
+  fixture.mCore.mLeaving = true;
+  CHECK_THROWS_AS(fixture.mLookUps.Answer(request, 0, "lenient key"), base::RequestError);
+  CHECK(fixture.mCore.mLedger.Size() == 2);
+}
+
+TEST_CASE("query values are found by whole names")
+{
+  CHECK(QueryValue("/v1/lookup?service=s&tickets=2", "tickets") == "2");
+  CHECK(QueryValue("/v1/lookup?xservice=s", "service").empty());
+  CHECK(QueryValue("/v1/lookup", "service").empty());
+  CHECK(QueryValue("/v1/lookup?service", "service").empty());
+}
+
+TEST_CASE("the dump holds no key, digest or ticket")
+{
+  Fixture fixture;
+  std::string ticket = *fixture.mCore.mLedger.Issue("lenient", fixture.mClock.Now());
+  std::string dump = DumpState(fixture.mCore) + fixture.mCore.mMetrics.Text();
+  CHECK(dump.find(decide::DigestText("lenient key")) == std::string::npos);
+  CHECK(dump.find(ticket) == std::string::npos);
+  CHECK(dump.find("organisation:lenient") != std::string::npos);
+}
--- /dev/null
+++ b/tests/unit/peer.cc
@@ -0,0 +1,107 @@
+// Tests of the package peer.
+#include <doctest/doctest.h>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "canned.h"
+#include "peer/peer.h"
+
+using namespace vanillaloft;
+using namespace std::chrono_literals;
+namespace wire = vanillaloft::peer::wire;
+
+namespace {
+
+constexpr const char* kAddress = "127.0.0.1:47391";
+constexpr int kTries = 200;
+
+class Answering final : public peer::Handler
+{
+public:
+  peer::Awaitable<wire::BeatReply> OnBeat(wire::BeatRequest aRequest) override
+  {
+    wire::BeatReply reply;
+    *reply.mutable_status() = aRequest.status();
+    co_return reply;
+  }
+  peer::Awaitable<wire::ConfigReply> OnFetchConfig(wire::ConfigRequest) override
+  {
+    throw std::runtime_error("no configuration");
+    co_return wire::ConfigReply();
+  }
+  peer::Awaitable<wire::TokenReply> OnAskToken(wire::TokenRequest aRequest) override
+  {
+    wire::TokenReply reply;
+    reply.set_given(aRequest.micro_tokens() == 1);
+    co_return reply;
+  }
+  peer::Awaitable<wire::ForwardReply> OnForward(wire::ForwardRequest aRequest) override
+  {
+    wire::ForwardReply reply;
+    reply.set_body(aRequest.body());
+    co_return reply;
+  }
+};
+
+// A channel connects in the background; calls before that say that nothing was sent.
+peer::Awaitable<wire::TokenReply> AskUntilConnected(boost::asio::io_context& aContext,
+                                                    peer::Client& aClient,
+                                                    wire::TokenRequest aRequest)
+{
+  for (int i = 0;; ++i) {
+    try {
+      co_return co_await aClient.AskToken(kAddress, aRequest, 2000ms);
+    } catch (const peer::PeerError& error) {
+      if (error.MayHaveArrived() || i == kTries) {
+        throw;
+      }
+    }
+    boost::asio::steady_timer timer(aContext, 20ms);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+  }
+}
+
+} // namespace
+
+TEST_CASE("a call to nobody proves that nothing was sent")
+{
+  boost::asio::io_context context;
+  peer::Client client(context);
+  bool mayHaveArrived = true;
+  try {
+    test::Finish(context, client.Forward("127.0.0.1:1", {}, 500ms));
+  } catch (const peer::PeerError& error) {
+    mayHaveArrived = error.MayHaveArrived();
+  }
+  CHECK_FALSE(mayHaveArrived);
+}
+
+TEST_CASE("calls run on the handler and a failure in it may have run")
+{
+  boost::asio::io_context context;
+  Answering handler;
+  peer::Client client(context);
+  peer::Server server(context, handler, kAddress);
+  wire::TokenRequest request;
+  request.set_micro_tokens(1);
+  CHECK(test::Finish(context, AskUntilConnected(context, client, request)).given());
+  wire::ForwardRequest forward;
+  forward.set_body("order");
+  CHECK(test::Finish(context, client.Forward(kAddress, forward, 2000ms)).body() ==
+        "order");
+  bool mayHaveArrived = false;
+  try {
+    test::Finish(context, client.FetchConfig(kAddress, {}, 2000ms));
+  } catch (const peer::PeerError& error) {
+    mayHaveArrived = error.MayHaveArrived();
+  }
+  CHECK(mayHaveArrived);
+}
+
+TEST_CASE("an address is held by one process alone")
+{
+  boost::asio::io_context context;
+  Answering handler;
+  peer::Server server(context, handler, kAddress);
+  CHECK_THROWS(peer::Server(context, handler, kAddress));
+}
--- a/tests/world/script.cc
+++ b/tests/world/script.cc
@@ -71,7 +71,7 @@
   { "withdraw", &Script::Withdraw }, { "limit", &Script::Limit },
   { "shift", &Script::Shift },       { "drain", &Script::Drain },
   { "race", &Script::Race },         { "reset", &Script::Reset },
-  { "expect", &Script::Expect },
+  { "baseline", &Script::Baseline }, { "expect", &Script::Expect },
 };
 
 const Script::MeasureRow Script::kMeasures[] = {
@@ -91,6 +91,7 @@
   { "answered-count", &Script::AnsweredCount },
   { "lost", &Script::Lost },
   { "p99", &Script::P99 },
+  { "p99-ratio", &Script::P99Ratio },
   { "spilled", &Script::Spilled },
   { "shifted", &Script::Shifted },
   { "free", &Script::Free },
@@ -443,6 +444,15 @@
   mCallsAtReset = world.StoreCalls();
 }
 
+void Script::Baseline(const Words&)
+{
+  TheWorld();
+  for (const json& organisation : mConfig["organisations"]) {
+    std::string name = organisation["name"];
+    mBaselineP99[name] = P99({ name });
+  }
+}
+
 void Script::Expect(const Words& aWords)
 {
   auto row = std::ranges::find_if(
@@ -564,6 +574,12 @@
   return latencies.empty() ? "0" : Text(latencies[latencies.size() * 99 / 100]);
 }
 
+// The 99th percentile now, as a multiple of the one at the baseline.
+std::string Script::P99Ratio(const Words& aWords)
+{
+  return Text(std::stod(P99(aWords)) / std::stod(mBaselineP99.at(aWords.at(0))));
+}
+
 std::string Script::Spilled(const Words&)
 {
   return std::to_string(mWorld->Spilled());
--- a/tests/world/script.h
+++ b/tests/world/script.h
@@ -80,6 +80,7 @@
   void Drain(const Words& aWords);
   void Race(const Words& aWords);
   void Reset(const Words& aWords);
+  void Baseline(const Words& aWords);
   void Expect(const Words& aWords);
 
   std::string Overshoot(const Words& aWords);
@@ -98,6 +99,7 @@
   std::string AnsweredCount(const Words& aWords);
   std::string Lost(const Words& aWords);
   std::string P99(const Words& aWords);
+  std::string P99Ratio(const Words& aWords);
   std::string Spilled(const Words& aWords);
   std::string Shifted(const Words& aWords);
   std::string Free(const Words& aWords);
@@ -115,6 +117,7 @@
   Instant mStart{};
   Instant mResetAt{};
   std::uint64_t mCallsAtReset = 0;
+  std::map<std::string, std::string> mBaselineP99; // by organisation
   std::vector<std::string> mFailures;
   unsigned mLine = 0;
 };
--- a/tests/world/world.cc
+++ b/tests/world/world.cc
@@ -412,6 +412,7 @@
   status.mEntryAddress = node.mAddress;
   status.mReady = node.mAcceptor->Current() != nullptr;
   status.mLeaving = node.mLeaving;
+  status.mHoldsShares = node.mShares->IsHolder();
   status.mRevision = status.mReady ? node.mAcceptor->Current()->mRevision : 0;
   status.mFreeSlots = node.mSteer->FreeSlotsByService(Origin::Local, NodeNow(aNode));
   status.mRemoteSlots = node.mSteer->FreeSlotsByService(Origin::Remote, NodeNow(aNode));
@@ -793,6 +794,7 @@
     std::erase_if(givers, [&](const std::string& aGiver) {
       return node.mMembers->Gone(aGiver, now);
     });
+    node.mMembers->AddHolders(givers, now);
     givers.resize(std::min(givers.size(), kMostAsks));
     AskNext(aNode, aRequest, givers, 0, aFirst);
     return;
--- a/tools/process.sh
+++ b/tools/process.sh
@@ -159,7 +159,7 @@
 ctl rollback "$((before - 1))" >"$LOGS/rollback.txt" 2>&1
 verdict rollback-is-a-new-revision $?
 expect rollback-revision "$((before + 1))" "$(revision_of e1)"
-ctl diff "$LOGS/config.json" | grep -q late
+ctl diff "$LOGS/config.json" | grep -q '"path":"/organisations/0/keys/1/id'
 verdict diff-shows-the-issued-key $?
 ctl history | grep -q "$((before + 1)) .* current"
 verdict history $?
@@ -170,6 +170,33 @@
 "$BUILD/src/vanillaloft" check tests/scenarios/steady.scn 2>"$LOGS/check.txt"
 expect check-refuses 1 $?
 
+# A runbook goes on after its runner has died, is paused, resumed and aborted.
+wait_ready e1 e2 e3 w1
+run_says() { ctl runs | grep -q "$1"; }
+ctl run maintain-stock-1 >"$LOGS/run.txt" 2>&1
+verdict runbook-starts $? "$(cat "$LOGS/run.txt")"
+ctl run maintain-stock-1 >"$LOGS/run2.txt" 2>&1
+expect second-run-is-refused 1 $?
+await 15 run_says 'drained stock-1'
+runner=$(curl -s "http://$STORE/v1/kv/vanillaloft/run?raw" | python3 -c 'import json,sys; print(json.load(sys.stdin)["runner"])')
+for name in e1 e2 e3 w1; do [ "${PEER[$name]}" = "$runner" ] && kill -KILL "${PID[$name]}" && killed=$name; done
+await 40 run_says 'done'
+verdict runbook-survives-its-runner $? "$(ctl runs)"
+ctl show | tr -d ' \n' | grep -q '"drained":\[\]'
+verdict runbook-undrained $?
+start_instance "$killed"
+wait_ready "$killed"
+ctl run maintain-stock-1 >/dev/null
+await 15 run_says 'drained stock-1'
+ctl pause >"$LOGS/pause.txt"
+await 5 run_says paused
+verdict runbook-pauses $? "$(ctl runs)"
+ctl abort >"$LOGS/abort.txt"
+await 15 run_says 'aborted: the steering'
+verdict runbook-aborts $? "$(ctl runs)"
+ctl show | tr -d ' \n' | grep -q '"drained":\[\]'
+verdict abort-undoes $?
+
 # Frozen and woken: the instance's callers are served by others, nothing runs twice.
 wait_ready e1 e2 e3 w1
 kill -STOP "${PID[e1]}"
