Events that were catalogued are written; what said nothing is gone

Cause: read as a newcomer: peer-lost, share-reclaimed and backend-server-state stood in the catalogue and were never logged; kReportLife and retry_after_ms were never used. The names of a server's states stood in the dump only.

--- a/src/daemon/loops.cc
+++ b/src/daemon/loops.cc
@@ -54,6 +54,21 @@
   }
 }
 
+// Logs peers that stopped answering since the last tick.
+void Loops::NotePeers()
+{
+  std::set<std::string> alive;
+  for (const decide::Member* member : mCore.mMembers.Living(mCore.Now())) {
+    alive.insert(member->mStatus.mSelf.mAddress);
+  }
+  for (const std::string& address : mAlivePeers) {
+    if (!alive.contains(address)) {
+      Log(spdlog::level::warn, Event::PeerLost, "peer={}", address);
+    }
+  }
+  mAlivePeers = std::move(alive);
+}
+
 Awaitable<void> Loops::Tick()
 {
   bool wasReady = false;
@@ -68,6 +83,7 @@
         spdlog::level::info, Event::Ready, "data_centre={}", mCore.mSettings.mDataCentre);
     }
     wasReady = mCore.IsReady();
+    NotePeers();
     co_await Sleep(kTick);
   }
 }
@@ -100,10 +116,18 @@
   decide::ServerState state = co_await mBackend.Probe(aAddress);
   const auto& servers = mCore.Config()->mBackendServers;
   auto found = std::ranges::find(servers, aServer, &decide::BackendServer::mName);
-  if (found != servers.end()) {
-    auto index = static_cast<std::size_t>(found - servers.begin());
-    mCore.mSteer.Report(decide::BackendServerId(index), state, mCore.Now());
+  if (found == servers.end()) {
+    co_return;
   }
+  auto index = static_cast<std::size_t>(found - servers.begin());
+  if (mCore.mSteer.Views()[index]->mState != state) {
+    Log(spdlog::level::info,
+        Event::BackendServerState,
+        "server={} state={}",
+        aServer,
+        decide::Name(state));
+  }
+  mCore.mSteer.Report(decide::BackendServerId(index), state, mCore.Now());
 }
 
 Awaitable<void> Loops::Probes()
@@ -192,6 +216,7 @@
     document = decide::ShareDocument::Parse(value.mText);
   }
   shares.Observe(document, mCore.Now());
+  std::uint64_t reclaimed = shares.Reclaimed();
   auto planned = shares.Plan(mCore.Now());
   if (!planned) {
     co_return true;
@@ -206,6 +231,12 @@
   }
   if (*swapped) {
     shares.Committed(mCore.Now());
+    if (shares.Reclaimed() != reclaimed) {
+      Log(spdlog::level::warn,
+          Event::ShareReclaimed,
+          "data_centre={}",
+          mCore.mSettings.mDataCentre);
+    }
   } else {
     shares.Conflicted();
   }
--- a/src/daemon/loops.h
+++ b/src/daemon/loops.h
@@ -62,6 +62,7 @@
   Duration LongestLookUpLife() const;
   Awaitable<void> Sleep(Duration aTime);
   void NoteStore(bool aAvailable);
+  void NotePeers();
 
   entry::Core& mCore;
   entry::Admission& mAdmission;
@@ -69,6 +70,7 @@
   entry::LookUps& mLookUps;
   entry::Relay& mRelay;
   store::Store& mStore;
+  std::set<std::string> mAlivePeers;
   std::set<std::string> mBeating; // addresses with a heartbeat under way
   std::uint64_t mConfigVersion = 0;
 };
--- a/src/decide/steer.cc
+++ b/src/decide/steer.cc
@@ -1,6 +1,7 @@
 #include "decide/steer.h"
 
 #include <algorithm>
+#include <array>
 
 namespace vanillaloft::decide {
 
@@ -10,6 +11,14 @@
 
 } // namespace
 
+std::string_view Name(ServerState aState)
+{
+  constexpr std::array<std::string_view, 4> kNames = {
+    "unknown", "serving", "draining", "down"
+  };
+  return kNames.at(static_cast<std::size_t>(aState));
+}
+
 void Steer::SetConfig(ConfigPtr aConfig, Instant aNow)
 {
   std::vector<ServerViewPtr> views(aConfig->mBackendServers.size());
--- a/src/decide/steer.h
+++ b/src/decide/steer.h
@@ -23,8 +23,6 @@
 // An abandoned request keeps its slot for this long, because the server may still work on
 // it.
 constexpr Duration kAbandonedHold = std::chrono::seconds(5);
-// A report that is older says nothing.
-constexpr Duration kReportLife = std::chrono::seconds(10);
 
 enum class ServerState : std::uint8_t
 {
@@ -34,6 +32,8 @@
   Down
 };
 
+std::string_view Name(ServerState aState);
+
 // Where a request for a backend server came from.
 enum class Origin : std::uint8_t
 {
--- a/src/entry/admission.cc
+++ b/src/entry/admission.cc
@@ -41,7 +41,9 @@
   std::erase_if(givers, [&](const std::string& aGiver) {
     return mCore.mMembers.Gone(aGiver, mCore.Now());
   });
-  mCore.mMembers.AddHolders(givers, mCore.Now());
+  if (givers.empty()) {
+    mCore.mMembers.AddHolders(givers, mCore.Now());
+  }
   givers.resize(std::min(givers.size(), kMostAsks));
   for (const std::string& giver : givers) {
     Instant asked = mCore.Now();
--- a/src/entry/dump.cc
+++ b/src/entry/dump.cc
@@ -31,19 +31,17 @@
 
 json BackendServersJson(const Core& aCore)
 {
-  constexpr std::array kStates = { "unknown", "serving", "draining", "down" };
   json servers = json::array();
   const auto& views = aCore.mSteer.Views();
   for (std::size_t i = 0; i < views.size(); ++i) {
     const decide::BackendServer& server = aCore.Config()->mBackendServers[i];
     if (server.mDataCentre == aCore.mSteer.OwnDataCentre()) {
-      servers.push_back(
-        { { "name", server.mName },
-          { "owned", views[i]->mOwned },
-          { "state", kStates.at(static_cast<std::size_t>(views[i]->mState)) },
-          { "drained", server.mDrained },
-          { "slots", server.mSlots },
-          { "in_flight", views[i]->mInFlight } });
+      servers.push_back({ { "name", server.mName },
+                          { "owned", views[i]->mOwned },
+                          { "state", decide::Name(views[i]->mState) },
+                          { "drained", server.mDrained },
+                          { "slots", server.mSlots },
+                          { "in_flight", views[i]->mInFlight } });
     }
   }
   return servers;
--- a/src/entry/relay.cc
+++ b/src/entry/relay.cc
@@ -13,7 +13,6 @@
 
 constexpr std::chrono::milliseconds kBeatTimeout{ 1000 };
 constexpr std::chrono::milliseconds kFetchTimeout{ 2000 };
-constexpr std::chrono::milliseconds kUnknownRetry{ 0 };
 
 wire::Status ToWire(const decide::MemberStatus& aStatus)
 {
@@ -157,7 +156,6 @@
 Awaitable<wire::TokenReply> Relay::OnAskToken(wire::TokenRequest aRequest)
 {
   wire::TokenReply reply;
-  reply.set_retry_after_ms(static_cast<std::uint64_t>(kUnknownRetry.count()));
   if (!mCore.Config()) {
     co_return reply;
   }
--- a/tests/world/world.cc
+++ b/tests/world/world.cc
@@ -794,7 +794,9 @@
     std::erase_if(givers, [&](const std::string& aGiver) {
       return node.mMembers->Gone(aGiver, now);
     });
-    node.mMembers->AddHolders(givers, now);
+    if (givers.empty()) {
+      node.mMembers->AddHolders(givers, now);
+    }
     givers.resize(std::min(givers.size(), kMostAsks));
     AskNext(aNode, aRequest, givers, 0, aFirst);
     return;
