Store keys stand in one place, and readiness asks itself first

Cause: read once more: the configuration's key stood three times and the history key twice (daemon, runner, command line); a change of one would have split them. They are store/keys.h now. IsReady, which runs at each request, gathered all holders before it looked whether this instance is one; the order is turned.

Ruled out: merging decide's key tests and the peer tests' shapes; the logic differs.

--- a/src/ctl/client.cc
+++ b/src/ctl/client.cc
@@ -40,14 +40,9 @@
   return fmt::format("{:08x}{:08x}", device(), device());
 }
 
-std::string HistoryKey(base::Revision aRevision)
-{
-  return fmt::format("vanillaloft/history/{}", aRevision);
-}
-
 Awaitable<Stored> Client::ReadConfig()
 {
-  store::Value value = co_await mStore.Read(std::string(kConfigKey));
+  store::Value value = co_await mStore.Read(store::kConfigKey);
   Stored stored{ value.mVersion, Json::object(), value.mText };
   if (value.mVersion != 0) {
     stored.mJson = Json::parse(value.mText);
@@ -57,7 +52,7 @@
 
 Awaitable<std::string> Client::ReadRevision(base::Revision aRevision)
 {
-  store::Value value = co_await mStore.Read(HistoryKey(aRevision));
+  store::Value value = co_await mStore.Read(store::HistoryKey(aRevision));
   if (value.mVersion == 0) {
     throw CommandError(kExitFailure, fmt::format("revision {} is not kept", aRevision));
   }
@@ -126,8 +121,7 @@
   bool swapped = false;
   bool unknown = false;
   try {
-    swapped =
-      co_await mStore.CompareAndSwap(std::string(kConfigKey), aBase.mVersion, text);
+    swapped = co_await mStore.CompareAndSwap(store::kConfigKey, aBase.mVersion, text);
   } catch (const store::StoreError&) {
     unknown = true;
   }
@@ -147,7 +141,7 @@
                        "nothing was written. See 'vanillaloft diff' and repeat");
   }
   try {
-    co_await mStore.CompareAndSwap(HistoryKey(highest + 1), 0, text);
+    co_await mStore.CompareAndSwap(store::HistoryKey(highest + 1), 0, text);
   } catch (const store::StoreError& error) {
     std::cout << "revision " << highest + 1
               << " is accepted but not kept in the history: " << error.what() << "\n";
--- a/src/ctl/client.h
+++ b/src/ctl/client.h
@@ -10,6 +10,7 @@
 #include "base/settings.h"
 #include "decide/config.h"
 #include "net/http.h"
+#include "store/keys.h"
 #include "store/store.h"
 
 namespace vanillaloft::ctl {
@@ -18,8 +19,6 @@
 using Awaitable = boost::asio::awaitable<T>;
 using Json = nlohmann::ordered_json;
 
-constexpr std::string_view kConfigKey = "vanillaloft/config";
-
 // A command that cannot be carried out; the message is for the operator.
 class CommandError : public std::runtime_error
 {
@@ -92,7 +91,4 @@
 // Random identifier of an operator's change.
 std::string NewOperation();
 
-// The store key under which a revision is kept.
-std::string HistoryKey(base::Revision aRevision);
-
 } // namespace vanillaloft::ctl
--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -184,7 +184,7 @@
   base::Revision current = stored.mJson.value("revision", base::Revision(0));
   base::Revision oldest = current > kListed ? current - kListed : 1;
   for (base::Revision revision = oldest; revision <= current; ++revision) {
-    store::Value kept = co_await mClient.Store().Read(HistoryKey(revision));
+    store::Value kept = co_await mClient.Store().Read(store::HistoryKey(revision));
     std::string digest = kept.mVersion == 0 ? "not kept" : decide::DigestText(kept.mText);
     std::cout << revision << " " << digest << (revision == current ? " current" : "")
               << "\n";
--- a/src/daemon/loops.cc
+++ b/src/daemon/loops.cc
@@ -7,6 +7,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "store/keys.h"
+
 namespace vanillaloft::daemon {
 
 namespace asio = boost::asio;
@@ -174,7 +176,7 @@
       mCore.Config()->mRevision);
   if (offer == decide::Offer::Older) {
     co_await mStore.CompareAndSwap(
-      std::string(kConfigKey), aValue.mVersion, mCore.Config()->mText);
+      store::kConfigKey, aValue.mVersion, mCore.Config()->mText);
   }
 }
 
@@ -190,7 +192,7 @@
     bool failed = false;
     try {
       store::Value value =
-        co_await mStore.Watch(std::string(kConfigKey), mConfigVersion, kWatchWait);
+        co_await mStore.Watch(store::kConfigKey, mConfigVersion, kWatchWait);
       NoteStore(true);
       mConfigVersion = value.mVersion;
       co_await TakeConfig(std::move(value));
--- a/src/daemon/loops.h
+++ b/src/daemon/loops.h
@@ -19,8 +19,6 @@
 template<typename T>
 using Awaitable = boost::asio::awaitable<T>;
 
-constexpr std::string_view kConfigKey = "vanillaloft/config";
-
 class Loops
 {
 public:
--- a/src/daemon/runner.cc
+++ b/src/daemon/runner.cc
@@ -5,6 +5,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "store/keys.h"
+
 namespace vanillaloft::daemon {
 
 namespace asio = boost::asio;
@@ -12,12 +14,6 @@
 using base::Log;
 using entry::Awaitable;
 
-namespace {
-
-const std::string kConfigKey = "vanillaloft/config";
-
-} // namespace
-
 Awaitable<void> Runner::Loop()
 {
   for (;;) {
@@ -96,10 +92,10 @@
       ? decide::RestoreSteering(aConfig.mText, aRun.mUndo, next, operation + "-undo")
       : decide::EditSteering(aConfig.mText, *aAdvance.mChange, next, operation);
   decide::ParseConfig(text);
-  if (!co_await mStore.CompareAndSwap(kConfigKey, aConfig.mVersion, text)) {
+  if (!co_await mStore.CompareAndSwap(store::kConfigKey, aConfig.mVersion, text)) {
     co_return false;
   }
-  co_await mStore.CompareAndSwap(fmt::format("vanillaloft/history/{}", next), 0, text);
+  co_await mStore.CompareAndSwap(store::HistoryKey(next), 0, text);
   co_return true;
 }
 
@@ -118,7 +114,7 @@
   }
   bool takesOver = run.mRunner != mCore.Self();
   mLastAdvance = takesOver ? mCore.Now() : mLastAdvance;
-  store::Value config = co_await mStore.Read(kConfigKey);
+  store::Value config = co_await mStore.Read(store::kConfigKey);
   decide::Advance advance = decide::AdvanceRun(run, *mCore.Config(), View(run));
   run.mRunner = mCore.Self();
   run.mSequence += 1;
--- a/src/entry/core.cc
+++ b/src/entry/core.cc
@@ -102,9 +102,12 @@
   if (!Config() || mStopped) {
     return false;
   }
+  if (mShares.IsHolder()) {
+    return true;
+  }
   std::vector<std::string> holders;
   mMembers.AddHolders(holders, Now());
-  return mShares.IsHolder() || !holders.empty() || Now() - mConfiguredAt >= kHolderWait;
+  return !holders.empty() || Now() - mConfiguredAt >= kHolderWait;
 }
 
 void Core::Confirm(Duration aAge)
