--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Short names for the usual work; CMake does the building.
 BUILD ?= build
 PACKAGES = libboost1.81-dev libgrpc++-dev protobuf-compiler-grpc prometheus-cpp-dev libspdlog-dev \
-  doctest-dev nlohmann-json3-dev libxxhash-dev librapidcheck-dev spin libssl-dev ninja-build cmake \
+  doctest-dev nlohmann-json3-dev libtomlplusplus-dev libxxhash-dev librapidcheck-dev spin libssl-dev ninja-build cmake \
   g++ gcc clang-format clang-tidy ccache curl netcat-openbsd python3 pkg-config
 
 .PHONY: build install-packages demo test unit scenarios model explore process bench capacity asan \
--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -21,6 +21,9 @@
     Event::Ready,
     "ready",
     "The instance has a configuration, knows a holder of shares and answers look-ups." },
+  EventRow{ Event::Reloaded,
+            "reloaded",
+            "The settings were read again after SIGHUP." },
   EventRow{ Event::ConfigurationInForce,
             "configuration-in-force",
             "A revision came into force." },
@@ -36,6 +39,9 @@
   EventRow{ Event::StoreAvailable,
             "store-available",
             "The platform's store answers again." },
+  EventRow{ Event::ItemUnreadable,
+            "item-unreadable",
+            "An item of the store cannot be read and is left out of account." },
   EventRow{ Event::ShareHeld,
             "share-held",
             "The instance holds its data centre's shares of the budgets." },
@@ -57,11 +63,17 @@
             "connection-closed",
             "A connection to a backend server was closed because its answer was late or "
             "did not match." },
+  EventRow{ Event::DataCentreEvacuated,
+            "data-centre-evacuated",
+            "Operators asked to send nothing to a data centre, or took that back." },
   EventRow{ Event::RunbookStep, "runbook-step", "A runbook advanced by a step." },
   EventRow{ Event::RunbookWaits,
             "runbook-waits",
             "A runbook step is held; the text says by what." },
   EventRow{ Event::RunbookEnded, "runbook-ended", "A runbook run ended." },
+  EventRow{ Event::RequestEnded,
+            "request-ended",
+            "A request was answered or refused; says with which result and why." },
 };
 
 } // namespace
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -17,11 +17,13 @@
   Stopping = 1003,
   Stopped = 1004,
   Ready = 1005,
+  Reloaded = 1006,
   ConfigurationInForce = 2001,
   ConfigurationRefused = 2002,
   ConfigurationOlderIgnored = 2003,
   StoreUnavailable = 2101,
   StoreAvailable = 2102,
+  ItemUnreadable = 2103,
   ShareHeld = 3001,
   ShareLapsed = 3002,
   ShareReleased = 3003,
@@ -30,9 +32,11 @@
   PeerFound = 4002,
   BackendServerState = 5001,
   ConnectionClosed = 5002,
+  DataCentreEvacuated = 5003,
   RunbookStep = 6001,
   RunbookWaits = 6002,
   RunbookEnded = 6003,
+  RequestEnded = 7001,
 };
 
 // One row of the event catalogue.
--- /dev/null
+++ b/src/daemon/follow.cc
@@ -0,0 +1,231 @@
+#include "daemon/follow.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace vanillaloft::daemon {
+
+namespace asio = boost::asio;
+using base::Event;
+using base::Log;
+
+namespace {
+
+// A waiting call may hang unseen, so it is asked anew after this time.
+constexpr std::chrono::milliseconds kWait{ 5000 };
+// Changes that come close together arrive with one call.
+constexpr Duration kGather = std::chrono::milliseconds(400);
+constexpr Duration kRetry = std::chrono::milliseconds(300);
+// The configuration is read when nobody confirmed it for this long.
+constexpr Duration kConfirmAfter = std::chrono::milliseconds(1200);
+constexpr int kConfirmLook = 300;   // milliseconds between two looks
+constexpr int kConfirmSpread = 300; // milliseconds by which instances differ
+// A registration that lapsed during an outage is back within two seconds if its server
+// lives. Outages count as recent for a little longer than it takes to notice their end.
+constexpr Duration kReturnTime = std::chrono::milliseconds(2300);
+constexpr Duration kRecentOutage = std::chrono::seconds(3);
+
+} // namespace
+
+void Follower::Start()
+{
+  for (const std::string& prefix : { mReader.OperatorPrefix(), mReader.ServerPrefix() }) {
+    asio::co_spawn(mCore.mContext, Follow(prefix), asio::detached);
+  }
+  asio::co_spawn(mCore.mContext, ConfirmConfig(), asio::detached);
+}
+
+Awaitable<void> Follower::Sleep(Duration aTime)
+{
+  asio::steady_timer timer(mCore.mContext, aTime);
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+void Follower::NoteStore(bool aAvailable)
+{
+  if (aAvailable == mCore.mStoreAvailable) {
+    return;
+  }
+  mCore.mStoreAvailable = aAvailable;
+  Event event = aAvailable ? Event::StoreAvailable : Event::StoreUnavailable;
+  Log(spdlog::level::warn, event, "");
+  if (aAvailable) {
+    mStoreBackAt = mCore.Now();
+  } else {
+    ++mOutages;
+  }
+}
+
+Awaitable<void> Follower::Follow(std::string aPrefix)
+{
+  Position position{ std::move(aPrefix), 0, false };
+  for (;;) {
+    Duration pause = kGather;
+    try {
+      co_await Step(position);
+      NoteStore(true);
+    } catch (const store::HistoryGone&) {
+      position.mListed = false;
+      pause = Duration::zero();
+    } catch (const store::StoreError& error) {
+      spdlog::debug("following {} failed: {}", position.mPrefix, error.what());
+      pause = kRetry;
+    }
+    co_await Sleep(pause);
+  }
+}
+
+Awaitable<void> Follower::Step(Position& aPosition)
+{
+  store::Items items;
+  if (aPosition.mListed) {
+    items = co_await mFeed.Changes(aPosition.mPrefix, aPosition.mRevision, kWait);
+  } else {
+    items = co_await mFeed.List(aPosition.mPrefix);
+    DropMissing(aPosition, items);
+  }
+  for (const store::Item& item : items.mItems) {
+    Apply(item);
+  }
+  aPosition.mRevision = items.mRevision;
+  aPosition.mListed = true;
+}
+
+void Follower::Apply(const store::Item& aItem)
+{
+  std::visit([this](const auto& aBelief) { Take(aBelief); }, mReader.Read(aItem));
+}
+
+// What a listing lacks was deleted while nobody watched.
+void Follower::DropMissing(const Position& aPosition, const store::Items& aListed)
+{
+  if (aPosition.mPrefix == mReader.OperatorPrefix()) {
+    mCore.mFleet.ClearEvacuations();
+    return;
+  }
+  std::set<std::string> listed;
+  for (const store::Item& item : aListed.mItems) {
+    listed.insert(item.mKey.substr(aPosition.mPrefix.size()));
+  }
+  std::vector<std::string> missing;
+  for (const auto& [id, server] : mCore.mFleet.Servers()) {
+    if (!listed.contains(id)) {
+      missing.push_back(id);
+    }
+  }
+  for (const std::string& id : missing) {
+    Take(ServerLeft{ id });
+  }
+}
+
+void Follower::Take(const decide::ConfigPtr& aConfig)
+{
+  decide::Offer offer = mCore.Accept(aConfig);
+  if (offer == decide::Offer::Older) {
+    Log(spdlog::level::warn,
+        Event::ConfigurationOlderIgnored,
+        "from=store offered={} in_force={}",
+        aConfig->mRevision,
+        mCore.Config()->mRevision);
+  }
+}
+
+void Follower::Take(const decide::Registration& aRegistration)
+{
+  const auto& servers = mCore.mFleet.Servers();
+  auto known = servers.find(aRegistration.mId);
+  bool changed = known == servers.end() ||
+                 !known->second->mRegistration.IsSameStart(aRegistration) ||
+                 known->second->mRegistration.mDraining != aRegistration.mDraining;
+  if (changed) {
+    Log(spdlog::level::info,
+        Event::BackendServerState,
+        "server={} service={} data_centre={} state={} cold_ms={}",
+        aRegistration.mId,
+        aRegistration.mService,
+        aRegistration.mDataCentre,
+        aRegistration.mDraining ? "draining" : "ready",
+        std::chrono::duration_cast<std::chrono::milliseconds>(aRegistration.mColdLeft)
+          .count());
+  }
+  mCore.mFleet.Register(aRegistration, mCore.Now());
+}
+
+void Follower::Take(const ServerLeft& aLeft)
+{
+  bool recentOutage =
+    !mCore.mStoreAvailable ||
+    (mOutages > 0 && mCore.Now() - mStoreBackAt < kRecentOutage);
+  if (recentOutage && mCore.mFleet.Servers().contains(aLeft.mId)) {
+    asio::co_spawn(mCore.mContext, RemoveLater(aLeft.mId), asio::detached);
+    return;
+  }
+  Log(spdlog::level::info,
+      Event::BackendServerState,
+      "server={} state=gone",
+      aLeft.mId);
+  mCore.mFleet.Deregister(aLeft.mId);
+}
+
+// The server may only have been unable to renew its registration.
+Awaitable<void> Follower::RemoveLater(std::string aId)
+{
+  decide::ServerPtr server = mCore.mFleet.Servers().at(aId);
+  server->mLapsed = true;
+  co_await Sleep(kReturnTime);
+  auto found = mCore.mFleet.Servers().find(aId);
+  if (found != mCore.mFleet.Servers().end() && found->second == server &&
+      server->mLapsed) {
+    Log(spdlog::level::info, Event::BackendServerState, "server={} state=lapsed", aId);
+    mCore.mFleet.Deregister(aId);
+  }
+}
+
+void Follower::Take(const Evacuation& aEvacuation)
+{
+  Log(spdlog::level::info,
+      Event::DataCentreEvacuated,
+      "data_centre={} active={}",
+      aEvacuation.mDataCentre,
+      aEvacuation.mActive);
+  mCore.mFleet.SetEvacuated(aEvacuation.mDataCentre, aEvacuation.mActive);
+}
+
+void Follower::Take(const Unreadable& aUnreadable)
+{
+  Log(spdlog::level::warn, Event::ItemUnreadable, "cause={}", aUnreadable.mCause);
+}
+
+// Peers relay their confirmations, so in a calm fleet few instances read.
+Awaitable<void> Follower::ConfirmConfig()
+{
+  for (;;) {
+    if (mCore.ConfirmedAge() >= kConfirmAfter) {
+      co_await ConfirmOnce();
+    }
+    int spread = static_cast<int>(mRandom() % kConfirmSpread);
+    co_await Sleep(std::chrono::milliseconds(kConfirmLook + spread));
+  }
+}
+
+// The confirmation counts from before the question was asked.
+Awaitable<void> Follower::ConfirmOnce()
+{
+  Instant asked = mCore.Now();
+  try {
+    store::Value value = co_await mStore.Read(mReader.ConfigKey());
+    NoteStore(true);
+    if (value.mVersion == 0) {
+      co_return;
+    }
+    Apply({ mReader.ConfigKey(), std::move(value.mText), value.mVersion, false });
+    mCore.Confirm(mCore.Now() - asked);
+  } catch (const store::StoreError& error) {
+    spdlog::debug("configuration not confirmed: {}", error.what());
+    NoteStore(false);
+  }
+}
+
+} // namespace vanillaloft::daemon
--- /dev/null
+++ b/src/daemon/follow.h
@@ -0,0 +1,97 @@
+// Keeps an instance's beliefs equal to what operators and backend servers write to the
+// platform's store.
+#pragma once
+
+#include <random>
+#include <string>
+#include <variant>
+
+#include "entry/core.h"
+#include "store/feed.h"
+
+namespace vanillaloft::daemon {
+
+using base::Duration;
+using base::Instant;
+template<typename T>
+using Awaitable = boost::asio::awaitable<T>;
+
+// What an item of the store says.
+struct ServerLeft
+{
+  std::string mId;
+};
+struct Evacuation
+{
+  std::string mDataCentre;
+  bool mActive = false;
+};
+// An item that cannot be read or comes from another writer; nothing follows from it.
+struct Unreadable
+{
+  std::string mCause;
+};
+using Belief = std::
+  variant<decide::ConfigPtr, decide::Registration, ServerLeft, Evacuation, Unreadable>;
+
+// Decodes the items of a platform's store.
+class ItemReader
+{
+public:
+  virtual ~ItemReader() = default;
+  virtual Belief Read(const store::Item& aItem) const = 0;
+  virtual std::string OperatorPrefix() const = 0;
+  virtual std::string ServerPrefix() const = 0;
+  virtual std::string ConfigKey() const = 0;
+};
+
+class Follower
+{
+public:
+  Follower(entry::Core& aCore,
+           store::Store& aStore,
+           store::Feed& aFeed,
+           const ItemReader& aReader)
+    : mCore(aCore)
+    , mStore(aStore)
+    , mFeed(aFeed)
+    , mReader(aReader)
+  {
+  }
+
+  void Start();
+
+private:
+  // Where following a prefix stands.
+  struct Position
+  {
+    std::string mPrefix;
+    std::uint64_t mRevision = 0;
+    bool mListed = false;
+  };
+
+  Awaitable<void> Follow(std::string aPrefix);
+  Awaitable<void> Step(Position& aPosition);
+  Awaitable<void> ConfirmConfig();
+  Awaitable<void> ConfirmOnce();
+  Awaitable<void> RemoveLater(std::string aId);
+  Awaitable<void> Sleep(Duration aTime);
+  void Apply(const store::Item& aItem);
+  void Take(const decide::ConfigPtr& aConfig);
+  void Take(const decide::Registration& aRegistration);
+  void Take(const ServerLeft& aLeft);
+  void Take(const Evacuation& aEvacuation);
+  void Take(const Unreadable& aUnreadable);
+  void DropMissing(const Position& aPosition, const store::Items& aListed);
+  void NoteStore(bool aAvailable);
+
+  entry::Core& mCore;
+  store::Store& mStore;
+  store::Feed& mFeed;
+  const ItemReader& mReader;
+  std::minstd_rand mRandom{ std::random_device{}() };
+  Instant mStoreBackAt{};
+  std::uint64_t mOutages = 0;
+};
+
+} // namespace vanillaloft::daemon
--- /dev/null
+++ b/src/daemon/instance.cc
@@ -0,0 +1,110 @@
+#include "daemon/instance.h"
+
+#include <csignal>
+#include <random>
+#include <thread>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <openssl/rand.h>
+
+namespace vanillaloft::daemon {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t kSecretBytes = 32;
+
+std::string RandomSecret()
+{
+  std::string secret(kSecretBytes, '\0');
+  if (RAND_bytes(reinterpret_cast<unsigned char*>(secret.data()), int(kSecretBytes)) !=
+      1) {
+    throw std::runtime_error("no random bytes to be had");
+  }
+  return secret;
+}
+
+std::uint64_t RandomStart()
+{
+  std::random_device device;
+  return (std::uint64_t(device()) << 32) | device();
+}
+
+} // namespace
+
+void AddSeeds(decide::Members& aMembers, const std::string& aSeeds)
+{
+  for (std::size_t from = 0; from < aSeeds.size();) {
+    std::size_t to = std::min(aSeeds.find(',', from), aSeeds.size());
+    std::string seed = aSeeds.substr(from, to - from);
+    std::size_t at = std::min(seed.find('@'), seed.size());
+    base::ParseHostPort("--seeds", seed.substr(0, at));
+    aMembers.AddAddress(seed.substr(0, at),
+                        at < seed.size() ? seed.substr(at + 1) : std::string());
+    from = to + 1;
+  }
+}
+
+Instance::Instance(entry::InstanceSettings aSettings,
+                   const entry::Format& aFormat,
+                   std::function<std::unique_ptr<store::Store>()> aMakeStore,
+                   Reach aReach)
+  : mStore(aMakeStore())
+  , mCore(mContext,
+          mClock,
+          aSettings,
+          { aSettings.mPeerAddress, RandomStart() },
+          RandomSecret())
+  , mAdmission(mCore)
+  , mBackend(mCore, aFormat)
+  , mDirect(mCore, mBackend)
+  , mPipeline(mCore, mAdmission, mBackend, aReach == Reach::Direct ? &mDirect : nullptr)
+  , mLookUps(mCore, mPipeline)
+  , mRelay(mCore, mPipeline)
+  , mListener(mCore, aFormat)
+  , mLoops(mCore, mAdmission, mBackend, mLookUps, mRelay, *mStore)
+  , mPeers(mContext, mRelay, aSettings.mPeerAddress)
+{
+  AddSeeds(mCore.mMembers, aSettings.mSeeds);
+}
+
+void Instance::AwaitReload(asio::signal_set& aSignals,
+                           const std::function<void()>& aOnReload)
+{
+  aSignals.async_wait([&](const boost::system::error_code& aEnded, int) {
+    if (aEnded) {
+      return;
+    }
+    base::Log(spdlog::level::info, base::Event::Reloaded, "");
+    aOnReload();
+    AwaitReload(aSignals, aOnReload);
+  });
+}
+
+void Instance::Run(const std::function<void()>& aOnReload)
+{
+  asio::signal_set stops(mContext, SIGTERM, SIGINT);
+  asio::signal_set reloads(mContext, SIGHUP);
+  std::thread closer;
+  auto stopped = [&](const std::exception_ptr&) {
+    closer = std::thread([&] {
+      mPeers.Close();
+      mContext.stop();
+    });
+  };
+  stops.async_wait([&](const boost::system::error_code&, int) {
+    asio::co_spawn(mContext, mLoops.Stop(), stopped);
+  });
+  AwaitReload(reloads, aOnReload);
+  base::Log(spdlog::level::info,
+            base::Event::Started,
+            "address={} data_centre={}",
+            mCore.Self().mAddress,
+            mCore.mSettings.mDataCentre);
+  mContext.run();
+  closer.join();
+}
+
+} // namespace vanillaloft::daemon
--- /dev/null
+++ b/src/daemon/instance.h
@@ -0,0 +1,58 @@
+// All parts of one entry instance, wired. The programs' entry points choose the formats,
+// the store and the ports.
+#pragma once
+
+#include <functional>
+
+#include <boost/asio/signal_set.hpp>
+
+#include "base/clock.h"
+#include "daemon/loops.h"
+#include "entry/direct.h"
+#include "entry/session.h"
+#include "peer/peer.h"
+
+namespace vanillaloft::daemon {
+
+// How requests reach backend servers.
+enum class Reach : std::uint8_t
+{
+  ByOwner, // through the instance of the server's data centre that owns it
+  Direct   // every instance sends to every server
+};
+
+class Instance
+{
+public:
+  Instance(entry::InstanceSettings aSettings,
+           const entry::Format& aFormat,
+           std::function<std::unique_ptr<store::Store>()> aMakeStore,
+           Reach aReach);
+
+  // Serves until a planned stop has ended. aOnReload is called for each SIGHUP.
+  void Run(const std::function<void()>& aOnReload);
+
+  boost::asio::io_context mContext{ 1 };
+  base::SystemClock mClock;
+  std::unique_ptr<store::Store> mStore;
+  entry::Core mCore;
+  entry::Admission mAdmission;
+  entry::Backend mBackend;
+  entry::DirectPlacement mDirect;
+  entry::Pipeline mPipeline;
+  entry::LookUps mLookUps;
+  entry::Relay mRelay;
+  entry::Listener mListener;
+  Loops mLoops;
+  peer::Server mPeers;
+
+private:
+  void AwaitReload(boost::asio::signal_set& aSignals,
+                   const std::function<void()>& aOnReload);
+};
+
+// Adds "ip:port" or "ip:port@data-centre" entries, separated by commas. Throws
+// base::SettingError.
+void AddSeeds(decide::Members& aMembers, const std::string& aSeeds);
+
+} // namespace vanillaloft::daemon
--- a/src/daemon/loops.cc
+++ b/src/daemon/loops.cc
@@ -26,16 +26,20 @@
   std::chrono::seconds(15); // of shares held by another instance
 constexpr Duration kConflictPause = std::chrono::milliseconds(50);
 constexpr Duration kInstancesInterval = std::chrono::seconds(10);
+constexpr Duration kAnnounceInterval = store::kAnnounceLife / 3;
 constexpr int kGiveBackTries = 5;
 
 } // namespace
 
-void Loops::Start()
+void Loops::Start(Source aSource)
 {
   asio::co_spawn(mCore.mContext, Tick(), asio::detached);
   asio::co_spawn(mCore.mContext, Beats(), asio::detached);
   asio::co_spawn(mCore.mContext, Probes(), asio::detached);
-  asio::co_spawn(mCore.mContext, WatchConfig(), asio::detached);
+  asio::co_spawn(mCore.mContext, Announce(), asio::detached);
+  if (aSource == Source::OwnStore) {
+    asio::co_spawn(mCore.mContext, WatchConfig(), asio::detached);
+  }
   asio::co_spawn(mCore.mContext, RenewShares(), asio::detached);
   asio::co_spawn(mCore.mContext, ReadInstances(), asio::detached);
 }
@@ -109,7 +113,7 @@
 {
   for (;;) {
     BeatAll();
-    co_await Sleep(decide::kBeatInterval);
+    co_await Sleep(mCore.mSettings.mBeatInterval);
   }
 }
 
@@ -156,7 +160,7 @@
   decide::Offer offer = decide::Offer::Older;
   try {
     if (aValue.mVersion != 0) {
-      offer = mCore.Accept(decide::ParseConfig(aValue.mText));
+      offer = mCore.Accept(mCore.mSettings.mReadConfig(aValue.mText));
     }
   } catch (const decide::ConfigError& error) {
     Log(spdlog::level::err,
@@ -318,6 +322,19 @@
   }
 }
 
+Awaitable<void> Loops::Announce()
+{
+  store::ListedInstance self{ mCore.Self().mAddress, mCore.mSettings.mDataCentre, false };
+  for (;;) {
+    try {
+      co_await mStore.Announce(self);
+    } catch (const store::StoreError& error) {
+      spdlog::debug("not announced: {}", error.what());
+    }
+    co_await Sleep(kAnnounceInterval);
+  }
+}
+
 Duration Loops::LongestLookUpLife() const
 {
   Duration longest{};
@@ -335,7 +352,7 @@
   BeatAll();
   Instant latest = mCore.Now() + mCore.mSettings.mStopTimeout;
   // Peers answer look-ups with this instance until they hear from it that it leaves.
-  Instant cached = mCore.Now() + LongestLookUpLife() + decide::kMemberTimeout;
+  Instant cached = mCore.Now() + LongestLookUpLife() + mCore.mSettings.mMemberTimeout;
   auto busy = [&] {
     return mCore.Now() < cached || mCore.mLedger.HasUnexpired(mCore.Now()) ||
            mCore.mRunning > 0;
--- a/src/daemon/loops.h
+++ b/src/daemon/loops.h
@@ -37,8 +37,15 @@
   {
   }
 
+  // Where the configuration comes from.
+  enum class Source : std::uint8_t
+  {
+    OwnStore, // written by our command line, watched by these loops
+    Followed  // written by the platform's operators, see follow.h
+  };
+
   // Starts all loops on the io_context.
-  void Start();
+  void Start(Source aSource);
 
   // The planned stop: not named by look-ups any more, serves until cached answers and
   // tickets have expired and all requests have ended, gives its shares back.
@@ -57,6 +64,7 @@
   Awaitable<bool> RenewOnce();
   Awaitable<void> GiveSharesBack();
   Awaitable<void> ReadInstances();
+  Awaitable<void> Announce();
   Duration LongestLookUpLife() const;
   Awaitable<void> Sleep(Duration aTime);
   void NoteStore(bool aAvailable);
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -1,19 +1,16 @@
 // vanillaloftd: one entry instance.
 #include <csignal>
 #include <iostream>
-#include <random>
-#include <thread>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/signal_set.hpp>
-#include <openssl/rand.h>
 #include <spdlog/sinks/stdout_sinks.h>
 
 #include "base/settings.h"
-#include "daemon/loops.h"
+#include "daemon/instance.h"
 #include "daemon/runner.h"
-#include "entry/session.h"
+#include "platform/run.h"
+#include "platform/settings.h"
 #include "store/http.h"
 
 namespace {
@@ -23,7 +20,6 @@
 constexpr int kExitOk = 0;
 constexpr int kExitSetting = 2;
 constexpr int kExitFailure = 1;
-constexpr std::size_t kSecretBytes = 32;
 constexpr std::chrono::milliseconds kStoreTimeout{ 1000 };
 
 const std::vector<base::Flag> kFlags = {
@@ -57,79 +53,26 @@
   return settings;
 }
 
-void AddSeeds(decide::Members& aMembers, const std::string& aSeeds)
-{
-  for (std::size_t from = 0; from < aSeeds.size();) {
-    std::size_t to = std::min(aSeeds.find(',', from), aSeeds.size());
-    std::string seed = aSeeds.substr(from, to - from);
-    std::size_t at = seed.find('@');
-    if (at == std::string::npos) {
-      throw base::SettingError("--seeds: '" + seed +
-                               "' is not accepted; give IP:PORT@DATA-CENTRE");
-    }
-    base::ParseHostPort("--seeds", seed.substr(0, at));
-    aMembers.AddAddress(seed.substr(0, at), seed.substr(at + 1));
-    from = to + 1;
-  }
-}
-
-std::string RandomSecret()
-{
-  std::string secret(kSecretBytes, '\0');
-  if (RAND_bytes(reinterpret_cast<unsigned char*>(secret.data()), int(kSecretBytes)) !=
-      1) {
-    throw std::runtime_error("no random bytes to be had");
-  }
-  return secret;
-}
-
-std::uint64_t RandomStart()
-{
-  std::random_device device;
-  return (std::uint64_t(device()) << 32) | device();
-}
-
 void Run(const base::Settings& aSettings)
 {
   entry::InstanceSettings settings = ToInstanceSettings(aSettings);
   base::HostPort admin = aSettings.Address("admin-listen");
-  boost::asio::io_context context(1);
-  base::SystemClock clock;
-  base::Incarnation self{ settings.mPeerAddress, RandomStart() };
-  entry::Core core(context, clock, settings, self, RandomSecret());
-  AddSeeds(core.mMembers, settings.mSeeds);
-  entry::Admission admission(core);
-  entry::Backend backend(core);
-  entry::Pipeline pipeline(core, admission, backend);
-  entry::LookUps lookUps(core, pipeline);
-  entry::Relay relay(core, pipeline);
-  entry::Listener listener(core, pipeline, lookUps);
-  store::HttpStore store(settings.mStore, kStoreTimeout);
-  daemon::Loops loops(core, admission, backend, lookUps, relay, store);
-  peer::Server peers(context, relay, settings.mPeerAddress);
-  listener.Open(settings.mListen);
-  listener.OpenAdmin(admin);
-  daemon::Runner runner(core, store);
-  loops.Start();
-  boost::asio::co_spawn(context, runner.Loop(), boost::asio::detached);
-  boost::asio::signal_set signals(context, SIGTERM, SIGINT);
-  std::thread closer;
-  auto stopped = [&](const std::exception_ptr&) {
-    closer = std::thread([&] {
-      peers.Close();
-      context.stop();
-    });
+  entry::OwnFormat format;
+  auto makeStore = [&] {
+    return std::make_unique<store::HttpStore>(settings.mStore, kStoreTimeout);
   };
-  signals.async_wait([&](const boost::system::error_code&, int) {
-    boost::asio::co_spawn(context, loops.Stop(), stopped);
+  daemon::Instance instance(settings, format, makeStore, daemon::Reach::ByOwner);
+  entry::OwnApi api(instance.mCore, format, instance.mPipeline, instance.mLookUps);
+  instance.mListener.Open(settings.mListen, [&](net::Request aRequest, auto& aLink) {
+    return api.Caller(std::move(aRequest), aLink);
   });
-  base::Log(spdlog::level::info,
-            base::Event::Started,
-            "address={} data_centre={}",
-            settings.mPeerAddress,
-            settings.mDataCentre);
-  context.run();
-  closer.join();
+  instance.mListener.Open(admin, [&](net::Request aRequest, auto&) {
+    return api.Operator(std::move(aRequest));
+  });
+  daemon::Runner runner(instance.mCore, *instance.mStore);
+  instance.mLoops.Start(daemon::Loops::Source::OwnStore);
+  boost::asio::co_spawn(instance.mContext, runner.Loop(), boost::asio::detached);
+  instance.Run([] {});
 }
 
 } // namespace
@@ -139,6 +82,10 @@
   spdlog::set_default_logger(spdlog::stderr_logger_mt("vanillaloftd"));
   std::signal(SIGPIPE, SIG_IGN);
   try {
+    if (auto path = platform::SettingsPath()) {
+      platform::Run(*path);
+      return kExitOk;
+    }
     base::Settings settings = base::Settings::Parse(aArgc, aArgv, kFlags);
     if (settings.WantsHelp()) {
       std::cout << "usage: vanillaloftd FLAGS\n" << base::Settings::Help(kFlags);
--- a/src/decide/config.cc
+++ b/src/decide/config.cc
@@ -35,10 +35,17 @@
   return FindByName<OrganisationId>(mOrganisations, aName);
 }
 
-RouteId Config::FindRoute(std::string_view aPath) const
+RegionId Config::FindRegion(std::string_view aName) const
 {
-  auto found = std::ranges::find_if(
-    mRoutes, [&](const Route& aRoute) { return aPath.starts_with(aRoute.mPath); });
+  return FindByName<RegionId>(mRegions, aName);
+}
+
+RouteId Config::FindRoute(std::string_view aHost, std::string_view aPath) const
+{
+  auto found = std::ranges::find_if(mRoutes, [&](const Route& aRoute) {
+    return (aRoute.mHost.empty() || aRoute.mHost == aHost) &&
+           aPath.starts_with(aRoute.mPath);
+  });
   return found == mRoutes.end()
            ? RouteId()
            : RouteId(static_cast<std::size_t>(found - mRoutes.begin()));
--- a/src/decide/config.h
+++ b/src/decide/config.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -67,8 +68,10 @@
 struct Organisation
 {
   std::string mName;
-  BudgetId mBudget;
+  BudgetId mBudget; // none: no limit
   IsolatedKeys mIsolatedKeys = IsolatedKeys::Accept;
+  std::optional<unsigned> mPriority; // goes before the route's, 0 first
+  std::vector<RegionId> mHomes;      // empty: everywhere
 };
 
 // Named behaviour of services.
@@ -92,17 +95,38 @@
   Order   // not idempotent; needs an order ticket
 };
 
+// One service of a split route with its part of the requests.
+struct SplitPart
+{
+  ServiceId mService;
+  unsigned mWeight = 1;
+};
+
 struct Route
 {
   std::string mPath; // prefix
   RouteKind mKind = RouteKind::Lookup;
-  ServiceId mService;
+  ServiceId mService; // the first one of a split
+  std::string mHost;  // empty: any host
+  std::vector<SplitPart> mSplit;
+  bool mPublic = false;       // served without a key
+  bool mAnyMethod = false;    // otherwise the kind tells which methods are accepted
+  bool mSticky = false;       // servers answer faster about objects that they know
+  Duration mTimeout{};        // from arrival to the final answer; zero: the profile's
+  Duration mLatencyTarget{};  // zero: none
+  unsigned mPriority = 0;     // 0 first
+  unsigned mMostServers = 0;  // backend servers tried at most; zero: the profile's
+  std::vector<RegionId> mHomes; // empty: everywhere
+
+  bool NeedsKey() const { return !mPublic && mKind != RouteKind::Open; }
 };
 
 struct Service
 {
   std::string mName;
   ProfileId mProfile;
+  std::string mProbePath;     // asked for a server's health
+  double mColdPerSecond = 0;  // requests that a cold server takes; zero: any number
 };
 
 struct BackendServer
@@ -160,6 +184,15 @@
   OrganisationId mOrganisation;
 };
 
+// What callers may send and how long their connections may stay idle. Zero: the
+// instance's own setting.
+struct CallerLimits
+{
+  std::size_t mHeadBytes = 0;
+  std::size_t mBodyBytes = 0;
+  Duration mIdleTime{};
+};
+
 struct Config
 {
   Revision mRevision = 0;
@@ -178,6 +211,7 @@
   std::vector<Shift> mShifts;
   std::vector<Runbook> mRunbooks;
   ClientBlocks mClientBlocks;
+  CallerLimits mLimits;
 
   const Profile& ProfileOf(ServiceId aService) const
   {
@@ -189,8 +223,10 @@
   ServiceId FindService(std::string_view aName) const;
   // The organisation of that name, or none.
   OrganisationId FindOrganisation(std::string_view aName) const;
-  // The route with the longest matching path, or none.
-  RouteId FindRoute(std::string_view aPath) const;
+  // The region of that name, or none.
+  RegionId FindRegion(std::string_view aName) const;
+  // The route with the longest matching path among those of the host, or none.
+  RouteId FindRoute(std::string_view aHost, std::string_view aPath) const;
   // The organisation that a key belongs to, or none.
   OrganisationId FindKey(const KeyDigest& aDigest) const;
 };
--- /dev/null
+++ b/src/decide/fleet.cc
@@ -0,0 +1,252 @@
+#include "decide/fleet.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include <xxhash.h>
+
+namespace vanillaloft::decide {
+
+namespace {
+
+// A load report counts half after this time.
+constexpr std::chrono::duration<double> kReportHalfLife{ 0.5 };
+// Weight of the newest request in the share of faults.
+constexpr double kFaultSmoothing = 0.2;
+// A server with a larger share of faults is used only where no other has room.
+constexpr double kDoubtful = 0.25;
+// First pause of a server that could not be reached, doubled for each further fault.
+constexpr Duration kFirstPause = std::chrono::milliseconds(250);
+constexpr unsigned kMostDoublings = 4;
+// Pause of a server that had no room: a few answers' time.
+constexpr Duration kFullPause = std::chrono::milliseconds(60);
+// Part of the accepted pace at which a cold server is filled. Two instances may take
+// themselves for its owner for a moment, which together stay under the pace's excess.
+constexpr double kColdPart = 0.7;
+constexpr double kColdBurst = 2;
+
+std::uint64_t HashOf(const std::string& aObject, const std::string& aServer)
+{
+  std::uint64_t seed = XXH3_64bits(aObject.data(), aObject.size());
+  return XXH3_64bits_withSeed(aServer.data(), aServer.size(), seed);
+}
+
+bool Contains(const std::vector<RegionId>& aRegions, RegionId aRegion)
+{
+  return aRegions.empty() || std::ranges::find(aRegions, aRegion) != aRegions.end();
+}
+
+Rate ColdRate(double aPerSecond)
+{
+  return { static_cast<MicroTokens>(aPerSecond * kColdPart * double(kToken)),
+           static_cast<MicroTokens>(kColdBurst * double(kToken)) };
+}
+
+} // namespace
+
+double OthersNow(const Server& aServer, Instant aNow)
+{
+  std::chrono::duration<double> age = aNow - aServer.mReportedAt;
+  return aServer.mOthers * std::exp2(-(age / kReportHalfLife));
+}
+
+void Fleet::SetConfig(ConfigPtr aConfig)
+{
+  mConfig = std::move(aConfig);
+  mOwn = mConfig->FindDataCentre(mOwnName);
+  for (auto& [id, server] : mServers) {
+    Resolve(*server);
+  }
+}
+
+void Fleet::Resolve(Server& aServer) const
+{
+  if (!mConfig) {
+    return;
+  }
+  aServer.mService = mConfig->FindService(aServer.mRegistration.mService);
+  aServer.mDataCentre = mConfig->FindDataCentre(aServer.mRegistration.mDataCentre);
+}
+
+void Fleet::Register(const Registration& aRegistration, Instant aNow)
+{
+  ServerPtr& server = mServers[aRegistration.mId];
+  bool known = server && server->mRegistration.IsSameStart(aRegistration);
+  if (!known) {
+    if (server) {
+      server->mGone = true;
+    }
+    server = std::make_shared<Server>();
+  }
+  server->mRegistration = aRegistration;
+  server->mLapsed = false;
+  Resolve(*server);
+  server->mColdUntil = aRegistration.mColdLeft > Duration::zero()
+                         ? aNow + aRegistration.mColdLeft
+                         : std::min(server->mColdUntil, aNow);
+}
+
+void Fleet::Deregister(const std::string& aId)
+{
+  auto found = mServers.find(aId);
+  if (found != mServers.end()) {
+    found->second->mGone = true;
+    mServers.erase(found);
+  }
+}
+
+void Fleet::SetEvacuated(const std::string& aDataCentre, bool aEvacuated)
+{
+  if (aEvacuated) {
+    mEvacuated.insert(aDataCentre);
+  } else {
+    mEvacuated.erase(aDataCentre);
+  }
+}
+
+std::size_t Fleet::CountOf(ServiceId aService) const
+{
+  return static_cast<std::size_t>(std::ranges::count_if(
+    mServers, [&](const auto& aEntry) { return aEntry.second->mService == aService; }));
+}
+
+bool Fleet::MayServe(const Server& aServer, const Wish& aWish) const
+{
+  if (aServer.mGone || aServer.mRegistration.mDraining ||
+      aServer.mService != aWish.mService || aServer.mDataCentre.IsNone()) {
+    return false;
+  }
+  if (mEvacuated.contains(aServer.mRegistration.mDataCentre)) {
+    return false;
+  }
+  RegionId region = mConfig->mDataCentres[aServer.mDataCentre.At()].mRegion;
+  return Contains(aWish.mHomes, region) && Contains(aWish.mMoreHomes, region) &&
+         std::ranges::find(aWish.mTried, &aServer) == aWish.mTried.end();
+}
+
+Fleet::Reach Fleet::ReachOf(const Server& aServer) const
+{
+  if (aServer.mDataCentre == mOwn) {
+    return Reach::Own;
+  }
+  bool sameRegion = !mOwn.IsNone() &&
+                    mConfig->mDataCentres[aServer.mDataCentre.At()].mRegion ==
+                      mConfig->mDataCentres[mOwn.At()].mRegion;
+  return sameRegion ? Reach::OwnRegion : Reach::Elsewhere;
+}
+
+// Best first: near before far, sound before doubtful, then by the object's own order.
+std::vector<Fleet::Ranked> Fleet::Rank(const Wish& aWish) const
+{
+  std::vector<Ranked> ranked;
+  for (const auto& [id, server] : mServers) {
+    if (!MayServe(*server, aWish)) {
+      continue;
+    }
+    Reach reach = ReachOf(*server);
+    if (reach == Reach::Own || aWish.mSpills) {
+      bool doubtful = server->mFaultShare > kDoubtful;
+      ranked.push_back({ reach, doubtful, HashOf(aWish.mObject, id), &server });
+    }
+  }
+  std::ranges::sort(ranked, [](const Ranked& aLeft, const Ranked& aRight) {
+    if (aLeft.mDoubtful != aRight.mDoubtful) {
+      return aRight.mDoubtful;
+    }
+    if (aLeft.mReach != aRight.mReach) {
+      return aLeft.mReach < aRight.mReach;
+    }
+    return aLeft.mWeight > aRight.mWeight;
+  });
+  return ranked;
+}
+
+// Only one instance sends to a cold server, at the server's pace.
+bool Fleet::Paces(const Server& aServer, Instant aNow) const
+{
+  double pace = mConfig->mServices[aServer.mService.At()].mColdPerSecond;
+  return aNow < aServer.mColdUntil && pace > 0;
+}
+
+bool Fleet::HasRoom(Server& aServer, Instant aNow) const
+{
+  if (aNow < aServer.mPausedUntil) {
+    return false;
+  }
+  double load = aServer.mInFlight + OthersNow(aServer, aNow);
+  if (load + 1 > double(aServer.mRegistration.mSlots) + 0.5) {
+    return false;
+  }
+  if (!Paces(aServer, aNow)) {
+    return true;
+  }
+  bool owner = aServer.mDataCentre == mOwn &&
+               mMembers.OwnsBackendServer(aServer.Id(), false, aNow);
+  if (!owner) {
+    return false;
+  }
+  aServer.mColdPace.SetRate(
+    ColdRate(mConfig->mServices[aServer.mService.At()].mColdPerSecond), aNow);
+  return aServer.mColdPace.Take(kToken, aNow);
+}
+
+Choice Fleet::Choose(const Wish& aWish, Instant aNow)
+{
+  if (!mConfig) {
+    return {};
+  }
+  std::vector<Ranked> ranked = Rank(aWish);
+  for (const Ranked& candidate : ranked) {
+    Server& server = **candidate.mServer;
+    if (HasRoom(server, aNow)) {
+      ++server.mInFlight;
+      return { *candidate.mServer, NoChoice::None };
+    }
+  }
+  return { nullptr, ranked.empty() ? NoChoice::None : NoChoice::Full };
+}
+
+void Fleet::Report(const ServerPtr& aServer, const LoadReport& aLoad, Instant aNow)
+{
+  double total = double(aLoad.mRunning) + aLoad.mWaiting;
+  // The answered request itself has left the server's count by now.
+  double own = aServer->mInFlight > 0 ? aServer->mInFlight - 1 : 0;
+  aServer->mOthers = std::max(0.0, total - own);
+  aServer->mReportedAt = aNow;
+}
+
+void Fleet::ReportCold(const ServerPtr& aServer, Duration aLeft, Instant aNow)
+{
+  aServer->mColdUntil = aNow + aLeft;
+}
+
+void Fleet::Ended(const ServerPtr& aServer, SendResult aResult, Instant aNow)
+{
+  Server& server = *aServer;
+  --server.mInFlight;
+  if (aResult == SendResult::Cancelled) {
+    return;
+  }
+  bool fault = aResult != SendResult::Answered;
+  server.mFaultShare += kFaultSmoothing * ((fault ? 1.0 : 0.0) - server.mFaultShare);
+  server.mFaultsInRow = fault ? server.mFaultsInRow + 1 : 0;
+  switch (aResult) {
+    case SendResult::Gone:
+      server.mGone = true;
+      break;
+    case SendResult::Full:
+      server.mPausedUntil = aNow + kFullPause;
+      break;
+    case SendResult::Refused:
+    case SendResult::Lost:
+      if (aResult == SendResult::Refused || server.mFaultsInRow > 1) {
+        server.mPausedUntil =
+          aNow + kFirstPause * (1U << std::min(server.mFaultsInRow - 1, kMostDoublings));
+      }
+      break;
+    default:
+      break;
+  }
+}
+
+} // namespace vanillaloft::decide
--- /dev/null
+++ b/src/decide/fleet.h
@@ -0,0 +1,174 @@
+// Backend servers that come and go by registration, what is believed about each of them,
+// and the choice of the one that gets a request. Every instance chooses alike from the
+// same registrations, so requests about one object meet at the same few servers, which
+// answer faster about objects that they handled lately.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/settings.h"
+#include "decide/config.h"
+#include "decide/member.h"
+
+namespace vanillaloft::decide {
+
+// What a backend server's registration says.
+struct Registration
+{
+  std::string mId;
+  std::uint64_t mBorn = 0; // identifies this start of the server
+  std::string mService;
+  std::string mDataCentre;
+  base::HostPort mAddress;
+  unsigned mSlots = 0;
+  bool mDraining = false;
+  Duration mColdLeft{}; // counted from the receipt of the registration
+
+  // True for another start, whatever name it goes by.
+  bool IsSameStart(const Registration& aOther) const
+  {
+    return mId == aOther.mId && mBorn == aOther.mBorn;
+  }
+};
+
+// A backend server's own count of its requests, as it came with an answer.
+struct LoadReport
+{
+  unsigned mRunning = 0;
+  unsigned mWaiting = 0;
+  unsigned mSlots = 0;
+};
+
+// How one request at a backend server ended.
+enum class SendResult : std::uint8_t
+{
+  Answered,
+  Failed,  // answered with a failure of its own
+  Full,    // rejected because it has no room
+  Gone,    // another server has the address
+  Refused, // no connection could be made
+  Lost,    // no whole answer came
+  Cancelled, // given up by this side for no fault of the server
+};
+
+// One start of one backend server, as this instance sees it. Shared with the requests
+// under way, so it outlives its registration.
+struct Server
+{
+  Registration mRegistration;
+  ServiceId mService; // none: not in the configuration in force
+  DataCentreId mDataCentre;
+  Instant mColdUntil{};
+  Instant mPausedUntil{};
+  Instant mReportedAt{};
+  double mOthers = 0;    // requests of other instances, as of mReportedAt
+  double mFaultShare = 0; // smoothed share of requests that went wrong
+  unsigned mFaultsInRow = 0;
+  unsigned mInFlight = 0; // of this instance
+  Bucket mColdPace;
+  bool mGone = false;   // no registration any more
+  bool mLapsed = false; // registration missing; it may be back soon
+
+  const std::string& Id() const { return mRegistration.mId; }
+};
+
+using ServerPtr = std::shared_ptr<Server>;
+
+// What is asked of a choice.
+struct Wish
+{
+  ServiceId mService;
+  std::string mObject; // empty: any server is as good as another
+  std::vector<RegionId> mHomes; // both lists bind if they are not empty
+  std::vector<RegionId> mMoreHomes;
+  std::vector<const Server*> mTried;
+  bool mSpills = true; // may leave the own data centre
+};
+
+// Why no server was chosen.
+enum class NoChoice : std::uint8_t
+{
+  Full, // there are servers, but none has room now
+  None, // no server may take the request
+};
+
+struct Choice
+{
+  ServerPtr mServer; // null: none
+  NoChoice mWhy = NoChoice::None;
+};
+
+class Fleet
+{
+public:
+  Fleet(std::string aOwnDataCentre, const Members& aMembers)
+    : mOwnName(std::move(aOwnDataCentre))
+    , mMembers(aMembers)
+  {
+  }
+
+  // Puts a configuration in force.
+  void SetConfig(ConfigPtr aConfig);
+
+  // Takes note of a registration; another start under the same name replaces the former.
+  void Register(const Registration& aRegistration, Instant aNow);
+  // The server left or its registration lapsed.
+  void Deregister(const std::string& aId);
+  // Nothing more is sent to an evacuated data centre.
+  void SetEvacuated(const std::string& aDataCentre, bool aEvacuated);
+  void ClearEvacuations() { mEvacuated.clear(); }
+
+  // Chooses a server. The caller sends to it and calls Ended, or does not and calls
+  // Unused.
+  Choice Choose(const Wish& aWish, Instant aNow);
+  void Unused(const ServerPtr& aServer) { --aServer->mInFlight; }
+  void Ended(const ServerPtr& aServer, SendResult aResult, Instant aNow);
+  // Takes note of a load report that came with an answer. Called before Ended.
+  void Report(const ServerPtr& aServer, const LoadReport& aLoad, Instant aNow);
+  // The server said how long it stays cold.
+  void ReportCold(const ServerPtr& aServer, Duration aLeft, Instant aNow);
+
+  const std::map<std::string, ServerPtr>& Servers() const { return mServers; }
+  std::size_t CountOf(ServiceId aService) const;
+
+private:
+  enum class Reach : std::uint8_t
+  {
+    Own,
+    OwnRegion,
+    Elsewhere
+  };
+  struct Ranked
+  {
+    Reach mReach;
+    bool mDoubtful; // fails often, used only where no other has room
+    std::uint64_t mWeight;
+    const ServerPtr* mServer;
+  };
+
+  void Resolve(Server& aServer) const;
+  bool MayServe(const Server& aServer, const Wish& aWish) const;
+  bool HasRoom(Server& aServer, Instant aNow) const;
+  bool Paces(const Server& aServer, Instant aNow) const;
+  Reach ReachOf(const Server& aServer) const;
+  std::vector<Ranked> Rank(const Wish& aWish) const;
+
+  std::string mOwnName;
+  const Members& mMembers;
+  ConfigPtr mConfig;
+  DataCentreId mOwn;
+  std::map<std::string, ServerPtr> mServers; // by registered name
+  std::set<std::string> mEvacuated;          // names of data centres
+  std::size_t mTurn = 0;
+};
+
+// Load of a server that is not this instance's own, as it is believed now. A report
+// fades, because the requests that it counted end.
+double OthersNow(const Server& aServer, Instant aNow);
+
+} // namespace vanillaloft::decide
--- a/src/decide/lookup.cc
+++ b/src/decide/lookup.cc
@@ -53,8 +53,14 @@
     return {};
   }
   DataCentreId nearest = mConfig->mClientBlocks.Find(aClient);
-  DataCentreId at = nearest.IsNone() ? mOwn : nearest;
-  return at.IsNone() ? std::span<const Candidate>() : mAnswers[at.At()];
+  return DecideFor(nearest.IsNone() ? mOwn : nearest);
+}
+
+std::span<const Candidate> LookUp::DecideFor(DataCentreId aDataCentre) const
+{
+  return aDataCentre.IsNone() || aDataCentre.At() >= mAnswers.size()
+           ? std::span<const Candidate>()
+           : mAnswers[aDataCentre.At()];
 }
 
 } // namespace vanillaloft::decide
--- a/src/decide/lookup.h
+++ b/src/decide/lookup.h
@@ -33,6 +33,9 @@
   // rebuild.
   std::span<const Candidate> Decide(std::uint32_t aClient) const;
 
+  // The instances for callers of a data centre; all are none if it is not known.
+  std::span<const Candidate> DecideFor(DataCentreId aDataCentre) const;
+
 private:
   ConfigPtr mConfig;
   DataCentreId mOwn;
--- a/src/decide/member.cc
+++ b/src/decide/member.cc
@@ -55,14 +55,14 @@
 bool Members::Alive(const std::string& aAddress, Instant aNow) const
 {
   const Member* member = Find(aAddress);
-  return member && aNow - member->mHeard < kMemberTimeout;
+  return member && aNow - member->mHeard < mTimeout;
 }
 
 std::vector<const Member*> Members::Living(Instant aNow) const
 {
   std::vector<const Member*> living;
   for (const auto& [address, member] : mMembers) {
-    if (aNow - member.mHeard < kMemberTimeout) {
+    if (aNow - member.mHeard < mTimeout) {
       living.push_back(&member);
     }
   }
--- a/src/decide/member.h
+++ b/src/decide/member.h
@@ -42,9 +42,12 @@
 class Members
 {
 public:
-  Members(std::string aSelfAddress, std::string aDataCentre)
+  Members(std::string aSelfAddress,
+          std::string aDataCentre,
+          Duration aTimeout = kMemberTimeout)
     : mSelfAddress(std::move(aSelfAddress))
     , mDataCentre(std::move(aDataCentre))
+    , mTimeout(aTimeout)
   {
   }
 
@@ -95,6 +98,7 @@
 
   std::string mSelfAddress;
   std::string mDataCentre;
+  Duration mTimeout;
   std::map<std::string, std::string>
     mAddresses;                           // address -> data centre, without this one
   std::map<std::string, Member> mMembers; // by address
--- a/src/decide/parse.cc
+++ b/src/decide/parse.cc
@@ -219,10 +219,7 @@
   RegionId RegionAt(const Node& aNode, const char* aField)
   {
     return aNode.Reference(aField, [this](const std::string& aName) {
-      auto found = std::ranges::find(mConfig->mRegions, aName, &Region::mName);
-      return found == mConfig->mRegions.end()
-               ? RegionId()
-               : RegionId(static_cast<std::size_t>(found - mConfig->mRegions.begin()));
+      return mConfig->FindRegion(aName);
     });
   }
 
@@ -328,7 +325,9 @@
   void ReadRoute(const Node& aNode, ServiceId aService)
   {
     aNode.Only({ "path", "kind" });
-    Route route{ aNode.At("path").Text(), RouteKind::Lookup, aService };
+    Route route;
+    route.mPath = aNode.At("path").Text();
+    route.mService = aService;
     if (!route.mPath.starts_with('/') || route.mPath.starts_with("/v1/")) {
       aNode.At("path").Fail("must start with '/' and not with '/v1/'");
     }
--- a/src/decide/share.cc
+++ b/src/decide/share.cc
@@ -268,7 +268,7 @@
     std::ranges::any_of(mDocument.mRecords, [&](const ShareRecord& aRecord) {
       return aRecord.mHolder.mAddress == mSelf.mAddress;
     });
-  return predecessor || aNow - mSeenSince >= kNewcomerWait;
+  return predecessor || aNow - mSeenSince >= mNewcomerWait;
 }
 
 // An own predecessor is gone for certain: this process could bind its address.
--- a/src/decide/share.h
+++ b/src/decide/share.h
@@ -94,9 +94,13 @@
 class ShareHolder
 {
 public:
-  ShareHolder(Incarnation aSelf, std::string aDataCentre)
+  // aNewcomerWait may be zero only with a store that never comes back older or empty.
+  ShareHolder(Incarnation aSelf,
+              std::string aDataCentre,
+              Duration aNewcomerWait = kNewcomerWait)
     : mSelf(std::move(aSelf))
     , mDataCentre(std::move(aDataCentre))
+    , mNewcomerWait(aNewcomerWait)
   {
   }
 
@@ -173,6 +177,7 @@
 
   Incarnation mSelf;
   std::string mDataCentre;
+  Duration mNewcomerWait;
   ConfigPtr mConfig;
   std::vector<Bucket> mBuckets;
   std::vector<std::string> mKeys;  // of the budgets
--- a/src/decide/ticket.cc
+++ b/src/decide/ticket.cc
@@ -157,7 +157,7 @@
   bool keeps = aOutcome.mBody.size() <= kLargestKeptAnswer &&
                mAnswerBytes + aOutcome.mBody.size() <= kMostAnswerBytes;
   if (!keeps && aOutcome.mResult == base::Result::Ok) {
-    aOutcome = Outcome{ base::Result::AnswerNotKept, 0, {}, {} };
+    aOutcome = Outcome{ base::Result::AnswerNotKept, 0, {}, {}, {}, {} };
   }
   mAnswerBytes += aOutcome.mBody.size();
   found->second.mState = State::Done;
--- a/src/decide/ticket.h
+++ b/src/decide/ticket.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "base/result.h"
 #include "base/types.h"
@@ -30,13 +31,22 @@
   static std::optional<Ticket> Parse(std::string_view aText);
 };
 
-// What became of an order, kept for repeats.
+// A header field that is passed on without being read.
+struct HeaderField
+{
+  std::string mName;
+  std::string mValue;
+};
+
+// What became of a request; that of an order is kept for repeats.
 struct Outcome
 {
   base::Result mResult = base::Result::OutcomeUnknown;
   unsigned mStatus = 0;     // of the backend server's answer
   std::string mContentType; // of the backend server's answer
   std::string mBody;
+  std::vector<HeaderField> mFields; // further ones of the backend server's answer
+  Duration mRetryAfter{};           // of a refusal: when there may be room
 };
 
 // What the ledger says to a presented ticket.
--- a/src/entry/backend.cc
+++ b/src/entry/backend.cc
@@ -12,10 +12,9 @@
 
 constexpr std::chrono::milliseconds kConnectTimeout{ 300 };
 constexpr std::chrono::milliseconds kProbeTimeout{ 500 };
+// A server that gives up at the deadline says so; its answer may still be on its way.
+constexpr std::chrono::milliseconds kAnswerSlack{ 100 };
 constexpr std::size_t kMostIdle = 32; // connections kept for each server
-constexpr const char* kRequestIdHeader = "X-Request-Id";
-constexpr const char* kNotRunHeader = "X-Not-Run";
-constexpr const char* kDrainingHeader = "X-Draining";
 
 } // namespace
 
@@ -38,90 +37,109 @@
                                                                mCore.Now());
 }
 
-net::Request Backend::Outgoing(const Exchange& aExchange, bool aOrder) const
+void Backend::Keep(const std::string& aServer, ConnectionPtr aConnection)
 {
-  net::Request request(
-    http::string_to_verb(aExchange.mMethod), aExchange.mTarget, net::kHttp11);
-  request.set(http::field::host, "backend-server");
-  request.set(kRequestIdHeader, aExchange.mRequestId);
-  request.set("X-Deadline-Ms", std::to_string(TimeLeft(aExchange).count()));
-  if (!aExchange.mOrganisation.IsNone()) {
-    request.set("X-Organisation",
-                aExchange.mConfig->mOrganisations[aExchange.mOrganisation.At()].mName);
-  }
-  if (!aExchange.mContentType.empty()) {
-    request.set(http::field::content_type, aExchange.mContentType);
-  }
-  if (aOrder) {
-    auto ticket = decide::Ticket::Parse(aExchange.mTicket);
-    std::string id = ticket->mIssuer.mAddress + "/" +
-                     std::to_string(ticket->mIssuer.mStart) + "/" +
-                     std::to_string(ticket->mSequence);
-    request.set("Idempotency-Key", id);
+  auto& idle = mIdle[aServer];
+  if (idle.size() < kMostIdle) {
+    idle.push_back(std::move(aConnection));
   }
-  request.keep_alive(true);
-  request.body() = aExchange.mBody;
-  request.prepare_payload();
-  return request;
 }
 
-// An order gets a connection of its own: on one that was idle, the server may be closing
-// just then, and a failure would leave the outcome unknown for no reason.
-Awaitable<decide::Outcome> Backend::Send(const Exchange& aExchange,
-                                         const decide::Slot& aSlot,
-                                         bool aOrder,
-                                         decide::Ending& aEnding)
+Awaitable<Backend::ConnectionPtr> Backend::Connect(Target aTarget, Reuse aReuse)
 {
-  aEnding = decide::Ending::Unreached;
-  ConnectionPtr connection = aOrder ? nullptr : TakeIdle(aSlot.mServer);
+  ConnectionPtr connection;
+  if (aReuse == Reuse::Allowed) {
+    connection = TakeIdle(aTarget.mName);
+  }
   if (!connection) {
     connection = std::make_unique<net::Connection>(mCore.mContext.get_executor());
     try {
-      co_await connection->Connect(aSlot.mAddress, kConnectTimeout);
+      co_await connection->Connect(aTarget.mAddress, kConnectTimeout);
     } catch (const net::CallError&) {
-      aSlot.mView->mState = decide::ServerState::Down;
       throw base::RequestError(Result::NotConnected);
     }
   }
-  if (TimeLeft(aExchange).count() <= 0) {
+  co_return connection;
+}
+
+Awaitable<ServerAnswer> Backend::Call(Exchange& aExchange,
+                                      Target aTarget,
+                                      Reuse aReuse,
+                                      bool aOrder)
+{
+  ConnectionPtr connection = co_await Connect(aTarget, aReuse);
+  Sending sending{ aTarget.mName, TimeLeft(aExchange), aOrder };
+  if (sending.mTimeLeft.count() <= 0 || aExchange.CallerGone()) {
+    Keep(aTarget.mName, std::move(connection));
     throw base::RequestError(Result::DeadlineBeforeStart);
   }
-  net::Request request = Outgoing(aExchange, aOrder);
+  net::Request request = mFormat.ToServer(aExchange, sending);
+  if (aExchange.mCaller && !aOrder) {
+    aExchange.mCaller->mOnGone = [&connection] { connection->Close(); };
+  }
   net::Response response;
   bool timedOut = false;
   bool lost = false;
   try {
-    response = co_await connection->Call(request, TimeLeft(aExchange));
+    response = co_await connection->Call(request, sending.mTimeLeft + kAnswerSlack);
   } catch (const net::CallError& error) {
     timedOut = error.TimedOut();
     lost = true;
   }
-  auto echo = response[kRequestIdHeader];
-  bool crossed = !lost && !echo.empty() && echo != aExchange.mRequestId;
+  if (aExchange.mCaller) {
+    aExchange.mCaller->mOnGone = nullptr;
+  }
+  bool keepAlive = !lost && response.keep_alive();
+  ServerAnswer answer;
+  if (!lost) {
+    answer = mFormat.FromServer(std::move(response));
+  }
+  bool crossed = !answer.mRequestId.empty() && answer.mRequestId != aExchange.mRequestId;
   if (lost || crossed) {
     base::Log(spdlog::level::warn,
               base::Event::ConnectionClosed,
-              "server={} cause={}",
-              aSlot.mServer,
+              "server={} request={} cause={}",
+              aTarget.mName,
+              aExchange.mRequestId,
               crossed ? "answer of another request" : "no whole answer in time");
     throw base::RequestError(timedOut ? Result::AnswerTimeout : Result::AnswerLost);
   }
-  if (response.count(kDrainingHeader) > 0) {
+  if (keepAlive && answer.mGenuine) {
+    Keep(aTarget.mName, std::move(connection));
+  }
+  co_return answer;
+}
+
+// An order gets a connection of its own: on one that was idle, the server may be closing
+// just then, and a failure would leave the outcome unknown for no reason.
+Awaitable<decide::Outcome> Backend::Send(Exchange& aExchange,
+                                         const decide::Slot& aSlot,
+                                         bool aOrder,
+                                         decide::Ending& aEnding)
+{
+  aEnding = decide::Ending::Unreached;
+  Target target{ aSlot.mServer, aSlot.mAddress };
+  Reuse reuse = aOrder ? Reuse::Forbidden : Reuse::Allowed;
+  ServerAnswer answer;
+  try {
+    answer = co_await Call(aExchange, target, reuse, aOrder);
+  } catch (const base::RequestError& error) {
+    if (error.Code() == Result::NotConnected) {
+      aSlot.mView->mState = decide::ServerState::Down;
+    } else if (error.Code() != Result::DeadlineBeforeStart) {
+      aEnding = decide::Ending::Abandoned;
+    }
+    throw;
+  }
+  if (answer.mDraining) {
     aSlot.mView->mState = decide::ServerState::Draining;
   }
-  if (response.result() == http::status::service_unavailable &&
-      response.count(kNotRunHeader) > 0) {
+  if (answer.mNotRun) {
     aEnding = decide::Ending::Shed;
     throw base::RequestError(Result::BackendServerShed);
   }
   aEnding = decide::Ending::Answered;
-  if (response.keep_alive() && mIdle[aSlot.mServer].size() < kMostIdle) {
-    mIdle[aSlot.mServer].push_back(std::move(connection));
-  }
-  decide::Outcome outcome{ Result::Ok, response.result_int(), "", "" };
-  outcome.mContentType = std::string(response[http::field::content_type]);
-  outcome.mBody = std::move(response.body());
-  co_return outcome;
+  co_return std::move(answer.mOutcome);
 }
 
 Awaitable<decide::ServerState> Backend::Probe(base::HostPort aServer)
--- a/src/entry/backend.h
+++ b/src/entry/backend.h
@@ -8,41 +8,46 @@
 
 #include "decide/steer.h"
 #include "entry/core.h"
+#include "entry/exchange.h"
+#include "entry/format.h"
 #include "net/http.h"
 
 namespace vanillaloft::entry {
 
-// A request on its way through the instance. Carries no key.
-struct Exchange
+// A backend server to call.
+struct Target
 {
-  std::string mRequestId;
-  std::string mMethod;
-  std::string mTarget;
-  std::string mContentType;
-  std::string mBody;
-  std::string mTicket; // as presented, if any
-  std::string mKey;    // as presented; never sent on, never logged
-  bool mHasKey = false;
-  decide::ConfigPtr mConfig; // in which the indexes below are valid
-  decide::RouteId mRoute;
-  decide::ServiceId mService;
-  decide::OrganisationId mOrganisation;
-  std::string mOrganisationName; // set instead of a key on requests from peers
-  Instant mArrival{};
-  Instant mDeadline{};
+  std::string mName; // connections are kept by it
+  base::HostPort mAddress;
+};
+
+// Whether a call may use a connection that was kept from an earlier one.
+enum class Reuse : std::uint8_t
+{
+  Allowed,
+  Forbidden
 };
 
 class Backend
 {
 public:
-  explicit Backend(Core& aCore)
+  Backend(Core& aCore, const Format& aFormat)
     : mCore(aCore)
+    , mFormat(aFormat)
   {
   }
 
+  // Sends a request and reads the whole answer. Throws RequestError: NotConnected if
+  // nothing was sent, otherwise AnswerTimeout or AnswerLost. The call ends early with
+  // AnswerLost when the caller goes away, unless the request is an order.
+  Awaitable<ServerAnswer> Call(Exchange& aExchange,
+                               Target aTarget,
+                               Reuse aReuse,
+                               bool aOrder);
+
   // Sends a request to the slot's server and returns the whole answer. Throws
   // RequestError whose code says whether the request ran. aEnding is set in either case.
-  Awaitable<decide::Outcome> Send(const Exchange& aExchange,
+  Awaitable<decide::Outcome> Send(Exchange& aExchange,
                                   const decide::Slot& aSlot,
                                   bool aOrder,
                                   decide::Ending& aEnding);
@@ -54,10 +59,12 @@
   using ConnectionPtr = std::unique_ptr<net::Connection>;
 
   ConnectionPtr TakeIdle(const std::string& aServer);
-  net::Request Outgoing(const Exchange& aExchange, bool aOrder) const;
+  Awaitable<ConnectionPtr> Connect(Target aTarget, Reuse aReuse);
+  void Keep(const std::string& aServer, ConnectionPtr aConnection);
   std::chrono::milliseconds TimeLeft(const Exchange& aExchange) const;
 
   Core& mCore;
+  const Format& mFormat;
   std::map<std::string, std::vector<ConnectionPtr>> mIdle; // by server name
 };
 
--- a/src/entry/core.cc
+++ b/src/entry/core.cc
@@ -67,9 +67,10 @@
   : mContext(aContext)
   , mClock(aClock)
   , mSettings(std::move(aSettings))
-  , mMembers(aSelf.mAddress, mSettings.mDataCentre)
+  , mMembers(aSelf.mAddress, mSettings.mDataCentre, mSettings.mMemberTimeout)
   , mSteer(mSettings.mDataCentre)
-  , mShares(aSelf, mSettings.mDataCentre)
+  , mFleet(mSettings.mDataCentre, mMembers)
+  , mShares(aSelf, mSettings.mDataCentre, mSettings.mNewcomerWait)
   , mLedger(aSelf, std::move(aSecret), mSettings.mTicketLife)
   , mPeers(aContext)
   , mSelf(aSelf)
@@ -84,6 +85,7 @@
     return offer;
   }
   mSteer.SetConfig(Config(), Now());
+  mFleet.SetConfig(Config());
   mShares.SetConfig(Config(), Now());
   mMetrics.Gauge("vanillaloft_revision").Set(double(Config()->mRevision));
   base::Log(spdlog::level::info,
@@ -124,7 +126,17 @@
 // nobody can have written a withdrawal; one that is cut off from some does not.
 bool Core::KeysUnconfirmed() const
 {
-  return ConfirmedAge() > kConfirmationLife && !mMembers.HearsEveryDataCentre(Now());
+  bool cannotMiss = mSettings.mWithdrawals == Withdrawals::ThroughInstances &&
+                    mMembers.HearsEveryDataCentre(Now());
+  return ConfirmedAge() > mSettings.mConfirmationLife && !cannotMiss;
+}
+
+double Core::RetryReserve() const
+{
+  if (mSettings.mFleetRetryReserve <= 0) {
+    return kRetryReserve;
+  }
+  return mSettings.mFleetRetryReserve / double(mMembers.Living(Now()).size() + 1);
 }
 
 decide::MemberStatus Core::Status() const
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -18,7 +18,9 @@
 #include "base/result.h"
 #include "base/settings.h"
 #include "decide/accept.h"
+#include "decide/fleet.h"
 #include "decide/member.h"
+#include "decide/retry.h"
 #include "decide/share.h"
 #include "decide/steer.h"
 #include "decide/ticket.h"
@@ -35,6 +37,19 @@
 // Without confirmation for longer, withdrawals may have been missed.
 constexpr Duration kConfirmationLife = std::chrono::seconds(3);
 
+// Retries that one instance may save up for each service.
+constexpr double kRetryReserve = 10;
+
+// Who may withdraw a key, as far as an instance that is cut off can tell.
+enum class Withdrawals : std::uint8_t
+{
+  ThroughInstances, // nobody, while no instance that it hears reaches the store
+  StoreAlone,       // operators may reach the store where no instance does
+};
+
+// Reads a configuration text; throws ConfigError.
+using ConfigReader = std::function<decide::ConfigPtr(std::string_view)>;
+
 // An instance that knows no holder of shares waits this long before it serves all the
 // same, what needs no tokens.
 constexpr Duration kHolderWait = std::chrono::seconds(10);
@@ -50,6 +65,16 @@
   Duration mTicketLife{};
   Duration mRequestTimeout{}; // for the arrival of a whole request
   Duration mStopTimeout{};    // longest planned stop
+  Duration mBeatInterval = decide::kBeatInterval;
+  Duration mMemberTimeout = decide::kMemberTimeout;
+  Duration mConfirmationLife = kConfirmationLife;
+  Withdrawals mWithdrawals = Withdrawals::ThroughInstances;
+  // Retries that the whole fleet may save up for a service; zero: kRetryReserve for each
+  // instance.
+  double mFleetRetryReserve = 0;
+  // A new instance waits this long before it takes shares.
+  Duration mNewcomerWait = decide::kNewcomerWait;
+  ConfigReader mReadConfig = decide::ParseConfig;
 };
 
 // Prometheus metrics of one instance.
@@ -95,6 +120,9 @@
   // shares is known, or none became known for kHolderWait.
   bool IsReady() const;
 
+  // Retries that this instance may save up for a service.
+  double RetryReserve() const;
+
   decide::MemberStatus Status() const;
 
   boost::asio::io_context& mContext;
@@ -102,6 +130,8 @@
   InstanceSettings mSettings;
   decide::Members mMembers;
   decide::Steer mSteer;
+  decide::Fleet mFleet;
+  decide::RetryBudget mRetries;
   decide::ShareHolder mShares;
   decide::Ledger mLedger;
   peer::Client mPeers;
--- /dev/null
+++ b/src/entry/direct.cc
@@ -0,0 +1,226 @@
+#include "entry/direct.h"
+
+#include <algorithm>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace vanillaloft::entry {
+
+namespace asio = boost::asio;
+using base::RequestError;
+using decide::SendResult;
+
+namespace {
+
+// A request waits for room at most this part of its latency target, so that a refused
+// caller still has time for another try.
+constexpr int kWaitPart = 8;
+constexpr Duration kWaitWithoutTarget = std::chrono::milliseconds(50);
+// Room also comes with time: pauses end and cold servers take more.
+constexpr Duration kLookAgain = std::chrono::milliseconds(25);
+constexpr unsigned kMostNotConnected = 3;
+
+bool IsIdempotent(const Exchange& aExchange)
+{
+  return aExchange.RouteInForce().mKind != decide::RouteKind::Order;
+}
+
+unsigned PriorityOf(const Exchange& aExchange)
+{
+  unsigned own = aExchange.RouteInForce().mPriority;
+  if (aExchange.mOrganisation.IsNone()) {
+    return own;
+  }
+  return aExchange.mConfig->mOrganisations[aExchange.mOrganisation.At()]
+    .mPriority.value_or(own);
+}
+
+bool NotRun(Result aCode)
+{
+  return base::Row(aCode).mRan == base::Ran::No;
+}
+
+// How a call that failed is counted for its server.
+SendResult FailureOf(const RequestError& aError, const Exchange& aExchange)
+{
+  if (aExchange.CallerGone() || aError.Code() == Result::DeadlineBeforeStart) {
+    return SendResult::Cancelled;
+  }
+  return aError.Code() == Result::NotConnected ? SendResult::Refused : SendResult::Lost;
+}
+
+// How an answer is counted, and the code with which the request goes on; Ok if the answer
+// is for the caller.
+struct Verdict
+{
+  SendResult mResult;
+  Result mCode;
+};
+
+Verdict Judge(const ServerAnswer& aAnswer)
+{
+  if (aAnswer.mOtherServer) {
+    return { SendResult::Gone, Result::BackendServerShed };
+  }
+  if (aAnswer.mNotRun) {
+    return { SendResult::Full, Result::BackendServerShed };
+  }
+  if (!aAnswer.mGenuine) {
+    return { SendResult::Lost, Result::AnswerLost };
+  }
+  return { aAnswer.mFailure ? SendResult::Failed : SendResult::Answered, Result::Ok };
+}
+
+} // namespace
+
+decide::Wish DirectPlacement::WishOf(const Exchange& aExchange, const Tries& aTries) const
+{
+  decide::Wish wish;
+  const decide::Route& route = aExchange.RouteInForce();
+  wish.mService = aExchange.mService;
+  wish.mObject = route.mSticky && !aExchange.mObject.empty() ? aExchange.mObject
+                                                             : aExchange.mRequestId;
+  wish.mHomes = route.mHomes;
+  if (!aExchange.mOrganisation.IsNone()) {
+    wish.mMoreHomes =
+      aExchange.mConfig->mOrganisations[aExchange.mOrganisation.At()].mHomes;
+  }
+  for (const decide::ServerPtr& server : aTries.mServers) {
+    wish.mTried.push_back(server.get());
+  }
+  return wish;
+}
+
+Awaitable<void> DirectPlacement::WaitForRoom(const Exchange& aExchange, Instant aUntil)
+{
+  asio::steady_timer timer(mCore.mContext, std::min(aUntil - mCore.Now(), kLookAgain));
+  Waiter waiter{ PriorityOf(aExchange), mNextWaiter++, &timer };
+  std::string service = aExchange.ServiceName();
+  mWaiters[service].insert(waiter);
+  boost::system::error_code woken;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, woken));
+  mWaiters[service].erase(waiter);
+}
+
+// Wakes all that wait for the service, the most urgent first.
+void DirectPlacement::Ended(const decide::ServerPtr& aServer, SendResult aResult)
+{
+  mCore.mFleet.Ended(aServer, aResult, mCore.Now());
+  auto waiting = mWaiters.find(aServer->mRegistration.mService);
+  if (waiting == mWaiters.end()) {
+    return;
+  }
+  for (const Waiter& waiter : waiting->second) {
+    waiter.mTimer->cancel();
+  }
+}
+
+Awaitable<decide::ServerPtr> DirectPlacement::Pick(Exchange& aExchange,
+                                                   const Tries& aTries)
+{
+  Duration target = aExchange.RouteInForce().mLatencyTarget;
+  Duration wait = target > Duration::zero() ? target / kWaitPart : kWaitWithoutTarget;
+  Instant until = std::min(mCore.Now() + wait, aExchange.mDeadline);
+  for (;;) {
+    decide::Choice choice =
+      mCore.mFleet.Choose(WishOf(aExchange, aTries), mCore.Now());
+    if (choice.mServer) {
+      co_return choice.mServer;
+    }
+    if (choice.mWhy == decide::NoChoice::None) {
+      throw RequestError(Result::NoBackendServer);
+    }
+    if (mCore.Now() >= until || aExchange.CallerGone()) {
+      throw RequestError(Result::QueueTimeout);
+    }
+    co_await WaitForRoom(aExchange, until);
+  }
+}
+
+Awaitable<decide::Outcome> DirectPlacement::SendTo(Exchange& aExchange,
+                                                   decide::ServerPtr aServer,
+                                                   Tries& aTries)
+{
+  const decide::Registration& registration = aServer->mRegistration;
+  Target target{ registration.mId, registration.mAddress };
+  ++aTries.mSends;
+  aTries.mServers.push_back(aServer);
+  aExchange.mServers += (aExchange.mServers.empty() ? "" : ",") + registration.mId;
+  ServerAnswer answer;
+  std::optional<RequestError> failure;
+  try {
+    answer = co_await mBackend.Call(
+      aExchange, target, Reuse::Allowed, !IsIdempotent(aExchange));
+  } catch (const RequestError& error) {
+    failure = error;
+  }
+  if (failure) {
+    Ended(aServer, FailureOf(*failure, aExchange));
+    throw RequestError(*failure);
+  }
+  if (answer.mLoad) {
+    mCore.mFleet.Report(aServer, *answer.mLoad, mCore.Now());
+  }
+  Verdict verdict = Judge(answer);
+  Ended(aServer, verdict.mResult);
+  if (verdict.mCode != Result::Ok) {
+    throw RequestError(verdict.mCode);
+  }
+  if (answer.mFailure) {
+    aTries.mFailure = answer.mOutcome;
+  }
+  co_return std::move(answer.mOutcome);
+}
+
+bool DirectPlacement::MayTryAgain(const Exchange& aExchange,
+                                  const Tries& aTries,
+                                  Result aCode)
+{
+  bool safe = NotRun(aCode) || IsIdempotent(aExchange);
+  if (!safe || aExchange.CallerGone() || mCore.Now() >= aExchange.mDeadline) {
+    return false;
+  }
+  if (aCode == Result::NotConnected) {
+    return aTries.mNotConnected <= kMostNotConnected;
+  }
+  unsigned most = std::max(1U, aExchange.RouteInForce().mMostServers);
+  return aTries.mSends < most && mCore.mRetries.Spend(aExchange.ServiceName());
+}
+
+// Tries one server after the other for as long as that does no harm. "Not run" is said
+// only if no server at all can have run the request.
+Awaitable<decide::Outcome> DirectPlacement::Place(Exchange& aExchange)
+{
+  Tries tries;
+  for (;;) {
+    Result code = Result::Ok;
+    decide::Outcome outcome;
+    try {
+      decide::ServerPtr server = co_await Pick(aExchange, tries);
+      outcome = co_await SendTo(aExchange, std::move(server), tries);
+    } catch (const RequestError& error) {
+      code = error.Code();
+    }
+    bool failed = code == Result::Ok && tries.mFailure;
+    if (code == Result::Ok && !failed) {
+      co_return outcome;
+    }
+    if (code == Result::NotConnected) {
+      ++tries.mNotConnected;
+      --tries.mSends;
+    }
+    tries.mMayHaveRun = tries.mMayHaveRun || failed || !NotRun(code);
+    bool noServer = code == Result::QueueTimeout || code == Result::NoBackendServer;
+    Result ended = failed ? Result::AnswerLost : code;
+    if (!noServer && MayTryAgain(aExchange, tries, ended)) {
+      continue;
+    }
+    if (tries.mFailure) {
+      co_return std::move(*tries.mFailure);
+    }
+    throw RequestError(NotRun(code) && tries.mMayHaveRun ? Result::AnswerLost : code);
+  }
+}
+
+} // namespace vanillaloft::entry
--- /dev/null
+++ b/src/entry/exchange.h
@@ -0,0 +1,54 @@
+// A request on its way through the instance.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "decide/config.h"
+#include "decide/ticket.h"
+
+namespace vanillaloft::entry {
+
+using base::Duration;
+using base::Instant;
+
+// The connection that a request came on, for as long as the request is served.
+struct CallerLink
+{
+  std::uint32_t mAddress = 0;     // IPv4, host byte order; 0 for others
+  bool mGone = false;             // the caller has closed it
+  std::function<void()> mOnGone;  // called once when the caller closes it
+};
+
+// Carries no key beyond the pipeline's first filter.
+struct Exchange
+{
+  std::string mRequestId;
+  std::string mMethod;
+  std::string mHost;
+  std::string mTarget;
+  std::string mContentType;
+  std::string mBody;
+  std::vector<decide::HeaderField> mFields; // passed on to the backend server as they came
+  std::string mObject; // what the request is about; empty if it was not said
+  std::string mTicket; // as presented, if any
+  std::string mKey;    // as presented; never sent on, never logged
+  bool mHasKey = false;
+  Duration mCallerWaits = Duration::max(); // as the caller said
+  decide::ConfigPtr mConfig; // in which the indexes below are valid
+  decide::RouteId mRoute;
+  decide::ServiceId mService;
+  decide::OrganisationId mOrganisation;
+  std::string mOrganisationName; // set instead of a key on requests from peers
+  Instant mArrival{};
+  Instant mDeadline{};
+  CallerLink* mCaller = nullptr; // none on requests from peers
+  std::string mServers;          // names of those that it was sent to, for the log
+
+  const decide::Route& RouteInForce() const { return mConfig->mRoutes[mRoute.At()]; }
+  const std::string& ServiceName() const { return mConfig->mServices[mService.At()].mName; }
+  bool CallerGone() const { return mCaller && mCaller->mGone; }
+};
+
+} // namespace vanillaloft::entry
--- /dev/null
+++ b/src/entry/format.cc
@@ -0,0 +1,114 @@
+#include "entry/format.h"
+
+#include <nlohmann/json.hpp>
+
+namespace vanillaloft::entry {
+
+namespace http = boost::beast::http;
+using base::Result;
+
+namespace {
+
+constexpr std::string_view kScheme = "Bearer ";
+constexpr const char* kTicketHeader = "Idempotency-Key";
+constexpr const char* kRequestIdHeader = "X-Request-Id";
+constexpr const char* kNotRunHeader = "X-Not-Run";
+constexpr const char* kDrainingHeader = "X-Draining";
+
+net::Response Refusal(Result aResult)
+{
+  const base::ResultRow& row = base::Row(aResult);
+  nlohmann::json body = { { "result", static_cast<unsigned>(aResult) },
+                          { "name", row.mName },
+                          { "ran", base::Name(row.mRan) },
+                          { "meaning", row.mMeaning } };
+  net::Response response(http::int_to_status(row.mStatus), net::kHttp11);
+  response.set(http::field::content_type, "application/json");
+  if (aResult == Result::RateExceeded) {
+    response.set(http::field::retry_after, "1");
+  }
+  response.body() = body.dump() + "\n";
+  return response;
+}
+
+} // namespace
+
+std::optional<std::string> KeyOf(const net::Request& aRequest, std::string_view aScheme)
+{
+  std::string_view value = View(aRequest[http::field::authorization]);
+  if (!value.starts_with(aScheme)) {
+    return std::nullopt;
+  }
+  return std::string(value.substr(aScheme.size()));
+}
+
+Exchange OwnFormat::FromCaller(net::Request aRequest) const
+{
+  std::optional<std::string> key = KeyOf(aRequest, kScheme);
+  Exchange exchange;
+  exchange.mMethod = std::string(View(aRequest.method_string()));
+  exchange.mTarget = std::string(View(aRequest.target()));
+  exchange.mContentType = std::string(View(aRequest[http::field::content_type]));
+  exchange.mTicket = std::string(View(aRequest[kTicketHeader]));
+  exchange.mHasKey = key.has_value();
+  exchange.mKey = key.value_or("");
+  exchange.mBody = std::move(aRequest.body());
+  return exchange;
+}
+
+net::Response OwnFormat::ToCaller(decide::Outcome aOutcome) const
+{
+  if (aOutcome.mResult != Result::Ok) {
+    return Refusal(aOutcome.mResult);
+  }
+  net::Response response(http::int_to_status(aOutcome.mStatus), net::kHttp11);
+  if (!aOutcome.mContentType.empty()) {
+    response.set(http::field::content_type, aOutcome.mContentType);
+  }
+  response.body() = std::move(aOutcome.mBody);
+  return response;
+}
+
+net::Request OwnFormat::ToServer(const Exchange& aExchange,
+                                 const Sending& aSending) const
+{
+  net::Request request(
+    http::string_to_verb(aExchange.mMethod), aExchange.mTarget, net::kHttp11);
+  request.set(http::field::host, "backend-server");
+  request.set(kRequestIdHeader, aExchange.mRequestId);
+  request.set("X-Deadline-Ms", std::to_string(aSending.mTimeLeft.count()));
+  if (!aExchange.mOrganisation.IsNone()) {
+    request.set("X-Organisation",
+                aExchange.mConfig->mOrganisations[aExchange.mOrganisation.At()].mName);
+  }
+  if (!aExchange.mContentType.empty()) {
+    request.set(http::field::content_type, aExchange.mContentType);
+  }
+  if (aSending.mOrder) {
+    auto ticket = decide::Ticket::Parse(aExchange.mTicket);
+    std::string id = ticket->mIssuer.mAddress + "/" +
+                     std::to_string(ticket->mIssuer.mStart) + "/" +
+                     std::to_string(ticket->mSequence);
+    request.set(kTicketHeader, id);
+  }
+  request.keep_alive(true);
+  request.body() = aExchange.mBody;
+  request.prepare_payload();
+  return request;
+}
+
+ServerAnswer OwnFormat::FromServer(net::Response aResponse) const
+{
+  ServerAnswer answer;
+  answer.mRequestId = std::string(View(aResponse[kRequestIdHeader]));
+  answer.mDraining = aResponse.count(kDrainingHeader) > 0;
+  answer.mNotRun = aResponse.result() == http::status::service_unavailable &&
+                   aResponse.count(kNotRunHeader) > 0;
+  answer.mOutcome.mResult = Result::Ok;
+  answer.mOutcome.mStatus = aResponse.result_int();
+  answer.mOutcome.mContentType = std::string(View(aResponse[http::field::content_type]));
+  answer.mOutcome.mBody = std::move(aResponse.body());
+  return answer;
+}
+
+} // namespace vanillaloft::entry
--- a/src/entry/lookup.h
+++ b/src/entry/lookup.h
@@ -29,6 +29,13 @@
                      std::uint32_t aClient,
                      const std::string& aKey);
 
+  // The instances for callers of a data centre; none if it is not known.
+  std::span<const decide::Candidate> InstancesFor(const std::string& aDataCentre) const
+  {
+    return mCore.Config() ? mLookUp.DecideFor(mCore.Config()->FindDataCentre(aDataCentre))
+                          : std::span<const decide::Candidate>();
+  }
+
 private:
   Core& mCore;
   Pipeline& mPipeline;
--- a/src/entry/pipeline.cc
+++ b/src/entry/pipeline.cc
@@ -2,6 +2,10 @@
 
 #include <algorithm>
 
+#include <xxhash.h>
+
+#include "decide/route.h"
+
 namespace vanillaloft::entry {
 
 using base::RequestError;
@@ -10,8 +14,6 @@
 
 namespace {
 
-constexpr unsigned kPercent = 100;
-constexpr unsigned kMostRetryCredit = 10 * kPercent;
 constexpr std::size_t kMostForwards = 3; // instances tried in one delivery
 constexpr std::uint64_t kBytesPerKilobyte = 1000;
 
@@ -32,6 +34,19 @@
   Core& mCore;
 };
 
+std::uint64_t HashOf(const std::string& aText)
+{
+  return XXH3_64bits(aText.data(), aText.size());
+}
+
+// The budget of the request's organisation; none if it has no organisation or no limit.
+decide::BudgetId BudgetOf(const Exchange& aExchange)
+{
+  return aExchange.mOrganisation.IsNone()
+           ? decide::BudgetId()
+           : aExchange.mConfig->mOrganisations[aExchange.mOrganisation.At()].mBudget;
+}
+
 bool MayRetry(const RequestError& aError, bool aOrder)
 {
   if (aError.Code() == Result::DeadlineBeforeStart ||
@@ -58,13 +73,36 @@
     }
     outcome = co_await Place(aExchange);
   } catch (const RequestError& error) {
-    outcome = Outcome{ error.Code(), 0, {}, {} };
+    Refuse(aExchange, error.Code(), outcome);
   }
+  Record(aExchange, outcome);
+  co_return outcome;
+}
+
+void Pipeline::Refuse(const Exchange& aExchange, Result aCode, Outcome& aOutcome)
+{
+  aOutcome.mResult = aCode;
+  if (base::Row(aCode).mRan == base::Ran::No) {
+    aOutcome.mRetryAfter = decide::RetryAfter(aCode, HashOf(aExchange.mRequestId));
+  }
+}
+
+void Pipeline::Record(const Exchange& aExchange, const Outcome& aOutcome)
+{
   std::string service = aExchange.mService.IsNone()
                           ? ""
                           : aExchange.mConfig->mServices[aExchange.mService.At()].mName;
-  mCore.mMetrics.CountRequest(service, outcome.mResult, mCore.Now() - aExchange.mArrival);
-  co_return outcome;
+  Duration took = mCore.Now() - aExchange.mArrival;
+  mCore.mMetrics.CountRequest(service, aOutcome.mResult, took);
+  base::Log(spdlog::level::info,
+            base::Event::RequestEnded,
+            "request={} service={} result={} status={} servers={} took_ms={}",
+            aExchange.mRequestId,
+            service,
+            base::Row(aOutcome.mResult).mName,
+            aOutcome.mStatus,
+            aExchange.mServers,
+            std::chrono::duration_cast<std::chrono::milliseconds>(took).count());
 }
 
 decide::OrganisationId Pipeline::Identify(const std::string& aKey) const
@@ -94,20 +132,27 @@
   aExchange.mConfig = mCore.Config();
   std::string_view path =
     std::string_view(aExchange.mTarget).substr(0, aExchange.mTarget.find('?'));
-  aExchange.mRoute = aExchange.mConfig->FindRoute(path);
+  aExchange.mRoute = aExchange.mConfig->FindRoute(aExchange.mHost, path);
   if (aExchange.mRoute.IsNone()) {
     aExchange.mService = {};
     throw RequestError(Result::UnknownRoute);
   }
-  const decide::Route& route = aExchange.mConfig->mRoutes[aExchange.mRoute.At()];
-  aExchange.mService = route.mService;
+  const decide::Route& route = aExchange.RouteInForce();
+  aExchange.mService = decide::DrawService(route, HashOf(aExchange.mRequestId));
   bool reads = aExchange.mMethod == "GET" || aExchange.mMethod == "HEAD";
   bool writes = aExchange.mMethod == "POST" || aExchange.mMethod == "PUT";
-  if (route.mKind == decide::RouteKind::Order ? !writes
-                                              : !(reads || aExchange.mMethod == "POST")) {
+  bool fits = route.mKind == decide::RouteKind::Order
+                ? writes
+                : reads || aExchange.mMethod == "POST";
+  if (!fits && !route.mAnyMethod) {
     throw RequestError(Result::MethodNotAllowed);
   }
-  if (route.mKind == decide::RouteKind::Open) {
+  Authenticate(aExchange);
+}
+
+void Pipeline::Authenticate(Exchange& aExchange) const
+{
+  if (!aExchange.RouteInForce().NeedsKey()) {
     aExchange.mOrganisation = {};
   } else if (!aExchange.mOrganisationName.empty()) {
     aExchange.mOrganisation =
@@ -125,9 +170,12 @@
 Awaitable<void> Pipeline::RouteFilter(Exchange& aExchange)
 {
   Resolve(aExchange);
+  const decide::Profile& profile = aExchange.mConfig->ProfileOf(aExchange.mService);
+  Duration timeout = aExchange.RouteInForce().mTimeout;
+  timeout = timeout > Duration::zero() ? timeout : profile.mDeadline;
   aExchange.mDeadline =
-    aExchange.mArrival + aExchange.mConfig->ProfileOf(aExchange.mService).mDeadline;
-  EarnRetry(aExchange);
+    aExchange.mArrival + std::min(timeout, aExchange.mCallerWaits);
+  mCore.mRetries.Earn(aExchange.ServiceName(), profile.mRetryPercent, mCore.RetryReserve());
   co_return;
 }
 
@@ -136,16 +184,16 @@
   if (aExchange.mOrganisation.IsNone()) {
     co_return;
   }
-  decide::BudgetId budget =
-    aExchange.mConfig->mOrganisations[aExchange.mOrganisation.At()].mBudget;
+  decide::BudgetId budget = BudgetOf(aExchange);
   Instant until =
     aExchange.mArrival + aExchange.mConfig->ProfileOf(aExchange.mService).mQueueTime;
-  while (!co_await mAdmission.TakeTokens(budget, decide::kToken, until)) {
+  while (!budget.IsNone() &&
+         !co_await mAdmission.TakeTokens(budget, decide::kToken, until)) {
     if (aExchange.mConfig == mCore.Config()) {
       throw RequestError(Result::RateExceeded);
     }
     Resolve(aExchange);
-    budget = aExchange.mConfig->mOrganisations[aExchange.mOrganisation.At()].mBudget;
+    budget = BudgetOf(aExchange);
   }
 }
 
@@ -154,8 +202,10 @@
   if (aExchange.mConfig != mCore.Config()) {
     Resolve(aExchange);
   }
-  if (aExchange.mConfig->mRoutes[aExchange.mRoute.At()].mKind ==
-      decide::RouteKind::Order) {
+  if (mPlacement) {
+    co_return co_await mPlacement->Place(aExchange);
+  }
+  if (aExchange.RouteInForce().mKind == decide::RouteKind::Order) {
     co_return co_await PlaceOrder(aExchange);
   }
   co_return co_await DeliverWithRetries(aExchange, false);
@@ -219,29 +269,10 @@
   } catch (const std::exception& error) {
     spdlog::error("order failed: {}", error.what());
   }
-  mCore.mLedger.Finish(sequence, Outcome{ Result::OutcomeUnknown, 0, {}, {} });
+  mCore.mLedger.Finish(sequence, Outcome{ Result::OutcomeUnknown, 0, {}, {}, {}, {} });
   throw RequestError(Result::OutcomeUnknown);
 }
 
-void Pipeline::EarnRetry(const Exchange& aExchange)
-{
-  const decide::Config& config = *aExchange.mConfig;
-  RetryBudget& budget = mRetries[config.mServices[aExchange.mService.At()].mName];
-  unsigned earned = config.ProfileOf(aExchange.mService).mRetryPercent;
-  budget.mCredit = std::min(budget.mCredit + earned, kMostRetryCredit);
-}
-
-bool Pipeline::SpendRetry(const Exchange& aExchange)
-{
-  const decide::Config& config = *aExchange.mConfig;
-  RetryBudget& budget = mRetries[config.mServices[aExchange.mService.At()].mName];
-  if (budget.mCredit < kPercent) {
-    return false;
-  }
-  budget.mCredit -= kPercent;
-  return true;
-}
-
 Awaitable<Outcome> Pipeline::DeliverWithRetries(Exchange& aExchange, bool aOrder)
 {
   unsigned left = aExchange.mConfig->ProfileOf(aExchange.mService).mRetries;
@@ -249,7 +280,7 @@
     try {
       co_return co_await Deliver(aExchange, aOrder);
     } catch (const RequestError& error) {
-      if (left == 0 || !MayRetry(error, aOrder) || !SpendRetry(aExchange)) {
+      if (left == 0 || !MayRetry(error, aOrder) || !mCore.mRetries.Spend(aExchange.ServiceName())) {
         throw;
       }
       --left;
@@ -395,7 +426,7 @@
   if (result != Result::Ok) {
     throw RequestError(result);
   }
-  co_return Outcome{ result, reply.status(), reply.content_type(), reply.body() };
+  co_return Outcome{ result, reply.status(), reply.content_type(), reply.body(), {}, {} };
 }
 
 Awaitable<Outcome> Pipeline::SendToSlot(Exchange& aExchange,
--- a/src/entry/pipeline.h
+++ b/src/entry/pipeline.h
@@ -2,7 +2,6 @@
 // route -> identify -> limit -> place.
 #pragma once
 
-#include <map>
 #include <string>
 
 #include "entry/admission.h"
@@ -11,13 +10,27 @@
 
 namespace vanillaloft::entry {
 
+// How an admitted request reaches a backend server.
+class Placement
+{
+public:
+  virtual ~Placement() = default;
+  // Throws RequestError.
+  virtual Awaitable<decide::Outcome> Place(Exchange& aExchange) = 0;
+};
+
 class Pipeline
 {
 public:
-  Pipeline(Core& aCore, Admission& aAdmission, Backend& aBackend)
+  // Without a placement, requests go by way of the instances that own the servers.
+  Pipeline(Core& aCore,
+           Admission& aAdmission,
+           Backend& aBackend,
+           Placement* aPlacement = nullptr)
     : mCore(aCore)
     , mAdmission(aAdmission)
     , mBackend(aBackend)
+    , mPlacement(aPlacement)
   {
   }
 
@@ -49,12 +62,6 @@
   };
   static const FilterRow kFilters[];
 
-  // Earns retries at the profile's percentage of requests.
-  struct RetryBudget
-  {
-    unsigned mCredit = 0; // hundredths of a retry
-  };
-
   Awaitable<void> RouteFilter(Exchange& aExchange);
   Awaitable<void> LimitFilter(Exchange& aExchange);
   Awaitable<decide::Outcome> Place(Exchange& aExchange);
@@ -71,13 +78,14 @@
                                         decide::Slot aSlot,
                                         bool aOrder);
   Awaitable<bool> PayForRegion(const Exchange& aExchange, const std::string& aAddress);
-  void EarnRetry(const Exchange& aExchange);
-  bool SpendRetry(const Exchange& aExchange);
+  void Authenticate(Exchange& aExchange) const;
+  void Refuse(const Exchange& aExchange, Result aCode, decide::Outcome& aOutcome);
+  void Record(const Exchange& aExchange, const decide::Outcome& aOutcome);
 
   Core& mCore;
   Admission& mAdmission;
   Backend& mBackend;
-  std::map<std::string, RetryBudget> mRetries; // by service name
+  Placement* mPlacement;
 };
 
 } // namespace vanillaloft::entry
--- a/src/entry/relay.cc
+++ b/src/entry/relay.cc
@@ -70,7 +70,17 @@
   }
 }
 
-// A peer's confirmation counts only while both have the same revision in force.
+// A peer's confirmation counts only while both have the same revision in force, and from
+// before the peer was asked: how long a message was under way is not known otherwise.
+void Relay::TakeConfirmation(const wire::Status& aStatus, Instant aAsked)
+{
+  base::Revision current = mCore.Config() ? mCore.Config()->mRevision : 0;
+  if (aStatus.revision() == current && aStatus.has_confirmed_age_ms()) {
+    mCore.Confirm(mCore.Now() - aAsked +
+                  std::chrono::milliseconds(aStatus.confirmed_age_ms()));
+  }
+}
+
 template<typename Message>
 bool Relay::TakeBeat(const Message& aMessage)
 {
@@ -86,9 +96,6 @@
     mCore.mMembers.AddAddress(known.address(), known.data_centre());
   }
   base::Revision current = mCore.Config() ? mCore.Config()->mRevision : 0;
-  if (status.mRevision == current && status.mConfirmedAge != Duration::max()) {
-    mCore.Confirm(status.mConfirmedAge);
-  }
   return status.mRevision > current;
 }
 
@@ -101,7 +108,7 @@
   try {
     wire::ConfigReply reply =
       co_await mCore.mPeers.FetchConfig(aAddress, wire::ConfigRequest(), kFetchTimeout);
-    mCore.Accept(decide::ParseConfig(reply.text()));
+    mCore.Accept(mCore.mSettings.mReadConfig(reply.text()));
   } catch (const peer::PeerError&) {
     // The next heartbeat tries again.
   } catch (const decide::ConfigError& error) {
@@ -119,10 +126,12 @@
   wire::BeatRequest request;
   FillBeat(request);
   bool newer = false;
+  Instant asked = mCore.Now();
   try {
     wire::BeatReply reply =
       co_await mCore.mPeers.Beat(aAddress, std::move(request), kBeatTimeout);
     newer = TakeBeat(reply);
+    TakeConfirmation(reply.status(), asked);
   } catch (const peer::PeerError&) {
     co_return; // absence is noticed by the age of the last heartbeat
   }
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -34,6 +34,7 @@
   // has a newer configuration.
   template<typename Message>
   bool TakeBeat(const Message& aMessage);
+  void TakeConfirmation(const peer::wire::Status& aStatus, Instant aAsked);
   Awaitable<void> FetchConfigFrom(std::string aAddress);
 
   Core& mCore;
--- a/src/entry/session.cc
+++ b/src/entry/session.cc
@@ -10,7 +10,6 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
-#include <nlohmann/json.hpp>
 
 #include "entry/dump.h"
 
@@ -23,53 +22,11 @@
 
 namespace {
 
-constexpr std::string_view kBearer = "Bearer ";
 constexpr std::chrono::seconds kWriteTimeout{ 10 };
 constexpr std::chrono::milliseconds kAcceptPause{ 50 };
-
-std::string_view View(beast::string_view aText)
-{
-  return { aText.data(), aText.size() };
-}
-
-// The presented key, if any.
-std::optional<std::string> KeyOf(const net::Request& aRequest)
-{
-  std::string_view value = View(aRequest[http::field::authorization]);
-  if (!value.starts_with(kBearer)) {
-    return std::nullopt;
-  }
-  return std::string(value.substr(kBearer.size()));
-}
-
-net::Response Refusal(Result aResult)
-{
-  const base::ResultRow& row = base::Row(aResult);
-  nlohmann::json body = { { "result", static_cast<unsigned>(aResult) },
-                          { "name", row.mName },
-                          { "ran", base::Name(row.mRan) },
-                          { "meaning", row.mMeaning } };
-  net::Response response(http::int_to_status(row.mStatus), net::kHttp11);
-  response.set(http::field::content_type, "application/json");
-  if (aResult == Result::RateExceeded) {
-    response.set(http::field::retry_after, "1");
-  }
-  response.body() = body.dump() + "\n";
-  return response;
-}
-
-net::Response ToResponse(decide::Outcome aOutcome)
-{
-  if (aOutcome.mResult != Result::Ok) {
-    return Refusal(aOutcome.mResult);
-  }
-  net::Response response(http::int_to_status(aOutcome.mStatus), net::kHttp11);
-  if (!aOutcome.mContentType.empty()) {
-    response.set(http::field::content_type, aOutcome.mContentType);
-  }
-  response.body() = std::move(aOutcome.mBody);
-  return response;
-}
+// An idle connection is closed this much later than callers are told, so that none of
+// their requests crosses the closing.
+constexpr Duration kIdleMargin = std::chrono::seconds(2);
 
 // A request that is being read. The stream's own timeout would close the connection, so
 // that the caller could not be told why; this one only ends the read.
@@ -117,15 +74,6 @@
 
 } // namespace
 
-Listener::Listener(Core& aCore, Pipeline& aPipeline, LookUps& aLookUps)
-  : mCore(aCore)
-  , mPipeline(aPipeline)
-  , mLookUps(aLookUps)
-  , mAcceptor(aCore.mContext)
-  , mAdminAcceptor(aCore.mContext)
-{
-}
-
 namespace {
 
 void Bind(asio::ip::tcp::acceptor& aAcceptor, const base::HostPort& aAt)
@@ -137,32 +85,62 @@
   aAcceptor.listen();
 }
 
+// True if the peer has closed its side; false while bytes wait or nothing has happened.
+bool HasClosed(asio::ip::tcp::socket& aSocket)
+{
+  Error error;
+  char byte = 0;
+  aSocket.non_blocking(true, error);
+  std::size_t count =
+    aSocket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+  return error != asio::error::would_block && (error || count == 0);
+}
+
+// Watches for the caller's closing while its request is served. Bytes of a next request
+// end the watch, since what comes behind them cannot be seen.
+void WatchForClosing(asio::ip::tcp::socket& aSocket, const std::shared_ptr<CallerLink>& aLink)
+{
+  std::weak_ptr<CallerLink> watched = aLink;
+  aSocket.async_wait(asio::socket_base::wait_read, [&aSocket, watched](const Error& aEnded) {
+    std::shared_ptr<CallerLink> link = watched.lock();
+    if (aEnded || !link || !HasClosed(aSocket)) {
+      return;
+    }
+    link->mGone = true;
+    if (link->mOnGone) {
+      link->mOnGone();
+    }
+  });
+}
+
 } // namespace
 
-void Listener::Open(base::HostPort aAt)
+Listener::Listener(Core& aCore, const Format& aFormat)
+  : mCore(aCore)
+  , mFormat(aFormat)
 {
-  Bind(mAcceptor, aAt);
-  asio::co_spawn(mCore.mContext, Accept(mAcceptor, &Listener::Caller), asio::detached);
 }
 
-void Listener::OpenAdmin(base::HostPort aAt)
+void Listener::Open(const base::HostPort& aAt, Handler aHandler)
 {
-  Bind(mAdminAcceptor, aAt);
-  asio::co_spawn(
-    mCore.mContext, Accept(mAdminAcceptor, &Listener::Admin), asio::detached);
+  mPorts.push_back({ Acceptor(mCore.mContext), std::move(aHandler) });
+  Bind(mPorts.back().mAcceptor, aAt);
+  asio::co_spawn(mCore.mContext, Accept(mPorts.back()), asio::detached);
 }
 
 void Listener::Close()
 {
-  mAcceptor.close();
+  for (Port& port : mPorts) {
+    port.mAcceptor.close();
+  }
 }
 
-Awaitable<void> Listener::Accept(Acceptor& aAcceptor, Handle aHandle)
+Awaitable<void> Listener::Accept(Port& aPort)
 {
-  while (aAcceptor.is_open()) {
+  while (aPort.mAcceptor.is_open()) {
     Error error;
-    auto socket =
-      co_await aAcceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+    auto socket = co_await aPort.mAcceptor.async_accept(
+      asio::redirect_error(asio::use_awaitable, error));
     if (error == asio::error::operation_aborted) {
       co_return;
     }
@@ -172,46 +150,82 @@
       continue;
     }
     socket.set_option(asio::ip::tcp::no_delay(true), error);
-    asio::co_spawn(mCore.mContext, Session(std::move(socket), aHandle), asio::detached);
+    net::LimitSilence(socket);
+    asio::co_spawn(
+      mCore.mContext, Session(std::move(socket), aPort.mHandler), asio::detached);
   }
 }
 
+Awaitable<Listener::Received> Listener::Receive(Stream& aStream,
+                                                beast::flat_buffer& aBuffer)
+{
+  decide::CallerLimits limits;
+  if (mCore.Config()) {
+    limits = mCore.Config()->mLimits;
+  }
+  http::request_parser<http::string_body> parser;
+  parser.header_limit(
+    static_cast<std::uint32_t>(limits.mHeadBytes > 0 ? limits.mHeadBytes : kLargestHead));
+  parser.body_limit(limits.mBodyBytes > 0 ? limits.mBodyBytes : kLargestBody);
+  auto reading = std::make_shared<Reading>(Reading{ &aStream, false });
+  Duration limit = limits.mIdleTime > Duration::zero() ? limits.mIdleTime + kIdleMargin
+                                                       : mCore.mSettings.mRequestTimeout;
+  asio::steady_timer timer(mCore.mContext, limit);
+  timer.async_wait(
+    [reading](const Error& aCancelled) { EndReading(*reading, aCancelled); });
+  aStream.expires_never();
+  Error error;
+  co_await http::async_read(
+    aStream, aBuffer, parser, asio::redirect_error(asio::use_awaitable, error));
+  reading->mStream = nullptr;
+  timer.cancel();
+  Received received;
+  if (error) {
+    Error cause = reading->mTimedOut ? Error(beast::error::timeout) : error;
+    received.mFailure = ReadFailure(cause, parser.got_some());
+    received.mClosed = received.mFailure == Result::Ok;
+  } else {
+    received.mRequest = parser.release();
+  }
+  co_return received;
+}
+
+Awaitable<net::Response> Listener::Handle(Stream& aStream,
+                                          const Handler& aHandler,
+                                          net::Request aRequest)
+{
+  Error error;
+  auto remote = aStream.socket().remote_endpoint(error).address();
+  auto link = std::make_shared<CallerLink>();
+  link->mAddress = remote.is_v4() ? remote.to_v4().to_uint() : 0;
+  WatchForClosing(aStream.socket(), link);
+  net::Response response = co_await aHandler(std::move(aRequest), *link);
+  aStream.socket().cancel(error);
+  co_return response;
+}
+
 // One request after the other, also when they arrive pipelined. After a request that
 // could not be read whole the connection is closed: what follows on it cannot be trusted.
-Awaitable<void> Listener::Session(asio::ip::tcp::socket aSocket, Handle aHandle)
+Awaitable<void> Listener::Session(asio::ip::tcp::socket aSocket, const Handler& aHandler)
 {
-  Error error;
-  auto remote = aSocket.remote_endpoint(error).address();
-  std::uint32_t client = remote.is_v4() ? remote.to_v4().to_uint() : 0;
-  beast::tcp_stream stream(std::move(aSocket));
+  Stream stream(std::move(aSocket));
   beast::flat_buffer buffer;
   bool keepAlive = true;
+  Error error;
   while (keepAlive) {
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(kLargestHead);
-    parser.body_limit(kLargestBody);
-    auto reading = std::make_shared<Reading>(Reading{ &stream, false });
-    asio::steady_timer timer(mCore.mContext, mCore.mSettings.mRequestTimeout);
-    timer.async_wait(
-      [reading](const Error& aCancelled) { EndReading(*reading, aCancelled); });
-    stream.expires_never();
-    co_await http::async_read(
-      stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-    reading->mStream = nullptr;
-    timer.cancel();
+    Received received = co_await Receive(stream, buffer);
+    if (received.mClosed) {
+      break;
+    }
     net::Response response;
-    if (error) {
-      Error cause = reading->mTimedOut ? Error(beast::error::timeout) : error;
-      Result failure = ReadFailure(cause, parser.got_some());
-      if (failure == Result::Ok) {
-        break;
-      }
-      response = Refusal(failure);
-      keepAlive = false;
+    keepAlive = false;
+    if (received.mFailure != Result::Ok) {
+      decide::Outcome refusal;
+      refusal.mResult = received.mFailure;
+      response = mFormat.ToCaller(std::move(refusal));
     } else {
-      net::Request request = parser.release();
-      keepAlive = request.keep_alive();
-      response = co_await (this->*aHandle)(std::move(request), client);
+      keepAlive = received.mRequest.keep_alive();
+      response = co_await Handle(stream, aHandler, std::move(received.mRequest));
     }
     keepAlive = keepAlive && !mCore.mLeaving;
     response.keep_alive(keepAlive);
@@ -226,42 +240,37 @@
   stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
 }
 
-std::string Listener::NextRequestId()
+net::Response OwnApi::LookUp(const net::Request& aRequest, std::uint32_t aClient) const
 {
-  return fmt::format("{:x}-{}", mCore.Self().mStart, ++mRequests);
+  Exchange exchange = mFormat.FromCaller(aRequest);
+  decide::Outcome outcome;
+  try {
+    if (!exchange.mHasKey) {
+      throw base::RequestError(Result::KeyMissing);
+    }
+    outcome.mBody = mLookUps.Answer(aRequest, aClient, exchange.mKey);
+    outcome.mResult = Result::Ok;
+    outcome.mStatus = unsigned(http::status::ok);
+    outcome.mContentType = "application/json";
+  } catch (const base::RequestError& error) {
+    outcome.mResult = error.Code();
+  }
+  return mFormat.ToCaller(std::move(outcome));
 }
 
-Awaitable<net::Response> Listener::Caller(net::Request aRequest, std::uint32_t aClient)
+Awaitable<net::Response> OwnApi::Caller(net::Request aRequest, CallerLink& aLink)
 {
-  std::optional<std::string> key = KeyOf(aRequest);
-  std::string_view target = View(aRequest.target());
-  if (target.starts_with("/v1/lookup")) {
-    if (!key) {
-      co_return Refusal(Result::KeyMissing);
-    }
-    try {
-      net::Response response(http::status::ok, net::kHttp11);
-      response.set(http::field::content_type, "application/json");
-      response.body() = mLookUps.Answer(aRequest, aClient, *key);
-      co_return response;
-    } catch (const base::RequestError& error) {
-      co_return Refusal(error.Code());
-    }
+  if (View(aRequest.target()).starts_with("/v1/lookup")) {
+    co_return LookUp(aRequest, aLink.mAddress);
   }
-  Exchange exchange;
-  exchange.mRequestId = NextRequestId();
-  exchange.mMethod = std::string(View(aRequest.method_string()));
-  exchange.mTarget = std::string(target);
-  exchange.mContentType = std::string(View(aRequest[http::field::content_type]));
-  exchange.mTicket = std::string(View(aRequest["Idempotency-Key"]));
-  exchange.mHasKey = key.has_value();
-  exchange.mKey = key.value_or("");
-  exchange.mBody = std::move(aRequest.body());
+  Exchange exchange = mFormat.FromCaller(std::move(aRequest));
+  exchange.mRequestId = fmt::format("{:x}-{}", mCore.Self().mStart, ++mRequests);
   exchange.mArrival = mCore.Now();
-  co_return ToResponse(co_await mPipeline.Serve(std::move(exchange)));
+  exchange.mCaller = &aLink;
+  co_return mFormat.ToCaller(co_await mPipeline.Serve(std::move(exchange)));
 }
 
-Awaitable<net::Response> Listener::Admin(net::Request aRequest, std::uint32_t)
+Awaitable<net::Response> OwnApi::Operator(net::Request aRequest)
 {
   net::Response response(http::status::ok, net::kHttp11);
   std::string_view target = View(aRequest.target());
@@ -277,7 +286,9 @@
                                     : http::status::service_unavailable);
     response.body() = mCore.IsReady() ? "ready\n" : "not ready\n";
   } else {
-    response = Refusal(Result::UnknownRoute);
+    decide::Outcome refusal;
+    refusal.mResult = Result::UnknownRoute;
+    response = mFormat.ToCaller(std::move(refusal));
   }
   co_return response;
 }
--- a/src/entry/session.h
+++ b/src/entry/session.h
@@ -1,13 +1,12 @@
-// HTTP/1.1 listeners: one for callers, one for operators.
+// HTTP/1.1 listeners and the product's own calls.
 #pragma once
 
 #include <functional>
-#include <memory>
-#include <set>
+#include <list>
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/http/message.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
 
 #include "entry/core.h"
 #include "entry/lookup.h"
@@ -15,36 +14,72 @@
 
 namespace vanillaloft::entry {
 
+// Where the configuration says nothing else.
 constexpr std::size_t kLargestHead = 16UL * 1024;   // bytes
 constexpr std::size_t kLargestBody = 1024UL * 1024; // bytes
 
-// Reads requests of callers, passes them on and writes the answers.
+// Answers the requests of one listening address. The link lives until the answer is there.
+using Handler = std::function<Awaitable<net::Response>(net::Request, CallerLink&)>;
+
+// Reads requests, has them handled and writes the answers.
 class Listener
 {
 public:
-  Listener(Core& aCore, Pipeline& aPipeline, LookUps& aLookUps);
+  Listener(Core& aCore, const Format& aFormat);
 
-  // Binds the callers' address and accepts until Close. Throws std::system_error.
-  void Open(base::HostPort aAt);
-  // Binds the operators' address.
-  void OpenAdmin(base::HostPort aAt);
+  // Binds an address and accepts until Close. Throws std::system_error.
+  void Open(const base::HostPort& aAt, Handler aHandler);
   void Close();
 
 private:
   using Acceptor = boost::asio::ip::tcp::acceptor;
-  using Handle = Awaitable<net::Response> (Listener::*)(net::Request, std::uint32_t);
+  using Stream = boost::beast::tcp_stream;
+  struct Port
+  {
+    Acceptor mAcceptor;
+    Handler mHandler;
+  };
+  struct Received
+  {
+    Result mFailure = Result::Ok;
+    bool mClosed = false;
+    net::Request mRequest;
+  };
+
+  Awaitable<void> Accept(Port& aPort);
+  Awaitable<void> Session(boost::asio::ip::tcp::socket aSocket, const Handler& aHandler);
+  Awaitable<Received> Receive(Stream& aStream, boost::beast::flat_buffer& aBuffer);
+  Awaitable<net::Response> Handle(Stream& aStream,
+                                  const Handler& aHandler,
+                                  net::Request aRequest);
+
+  Core& mCore;
+  const Format& mFormat;
+  std::list<Port> mPorts;
+};
 
-  Awaitable<void> Accept(Acceptor& aAcceptor, Handle aHandle);
-  Awaitable<void> Session(boost::asio::ip::tcp::socket aSocket, Handle aHandle);
-  Awaitable<net::Response> Caller(net::Request aRequest, std::uint32_t aClient);
-  Awaitable<net::Response> Admin(net::Request aRequest, std::uint32_t aClient);
-  std::string NextRequestId();
+// The product's own calls, for callers and for operators.
+class OwnApi
+{
+public:
+  OwnApi(Core& aCore, const Format& aFormat, Pipeline& aPipeline, LookUps& aLookUps)
+    : mCore(aCore)
+    , mFormat(aFormat)
+    , mPipeline(aPipeline)
+    , mLookUps(aLookUps)
+  {
+  }
+
+  Awaitable<net::Response> Caller(net::Request aRequest, CallerLink& aLink);
+  Awaitable<net::Response> Operator(net::Request aRequest);
+
+private:
+  net::Response LookUp(const net::Request& aRequest, std::uint32_t aClient) const;
 
   Core& mCore;
+  const Format& mFormat;
   Pipeline& mPipeline;
   LookUps& mLookUps;
-  Acceptor mAcceptor;
-  Acceptor mAdminAcceptor;
   std::uint64_t mRequests = 0;
 };
 
--- a/src/net/http.cc
+++ b/src/net/http.cc
@@ -1,5 +1,7 @@
 #include "net/http.h"
 
+#include <netinet/tcp.h>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -28,6 +30,20 @@
 
 } // namespace
 
+void LimitSilence(asio::ip::tcp::socket& aSocket)
+{
+  constexpr int kProbes = 2;
+  int limit = static_cast<int>(kSilenceLimit.count());
+  int interval = limit / 1000 / (kProbes + 1);
+  int fd = aSocket.native_handle();
+  int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
+  setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &interval, sizeof interval);
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof interval);
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof kProbes);
+}
+
 Connection::Connection(const asio::any_io_executor& aExecutor)
   : mStream(aExecutor)
 {
@@ -42,6 +58,7 @@
   co_await mStream.async_connect(to, asio::redirect_error(asio::use_awaitable, error));
   ThrowIf(error, Stage::Connect);
   mStream.socket().set_option(asio::ip::tcp::no_delay(true));
+  LimitSilence(mStream.socket());
   mKeepsAlive = true;
 }
 
@@ -56,6 +73,7 @@
   ThrowIf(error, Stage::Sent);
   http::response_parser<http::string_body> parser;
   parser.body_limit(kLargestAnswer);
+  parser.skip(aRequest.method() == http::verb::head);
   co_await http::async_read(
     mStream, mBuffer, parser, asio::redirect_error(asio::use_awaitable, error));
   ThrowIf(error, Stage::Sent);
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
@@ -49,6 +50,13 @@
   bool mTimedOut;
 };
 
+// The longest time in which sent bytes stay unacknowledged, and in which a silent peer is
+// asked whether it is still there. Without this a call over a link that was cut hangs.
+constexpr std::chrono::milliseconds kSilenceLimit{ 3000 };
+
+// Makes the system close a connection whose peer has fallen silent.
+void LimitSilence(boost::asio::ip::tcp::socket& aSocket);
+
 // One client connection. A call that fails leaves it unusable: a late answer must never
 // be taken for the answer to a later request.
 class Connection
@@ -62,6 +70,8 @@
   Awaitable<Response> Call(const Request& aRequest, std::chrono::milliseconds aTimeout);
   // False once the peer has closed or sent something that was not asked for.
   bool IsIdle();
+  // Ends a call that is under way; it then throws CallError.
+  void Close() { mStream.close(); }
 
 private:
   boost::beast::tcp_stream mStream;
--- a/src/store/http.h
+++ b/src/store/http.h
@@ -25,6 +25,7 @@
                                  std::uint64_t aVersion,
                                  std::string aText) override;
   Awaitable<std::vector<ListedInstance>> Instances() override;
+  Awaitable<void> Announce(ListedInstance) override { co_return; }
 
 private:
   Awaitable<net::Response> Call(net::Request aRequest,
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -37,6 +37,9 @@
   using std::runtime_error::runtime_error;
 };
 
+// An instance stays listed for this long behind its last announcement.
+constexpr std::chrono::seconds kAnnounceLife{ 12 };
+
 class Store
 {
 public:
@@ -52,6 +55,8 @@
                                          std::uint64_t aVersion,
                                          std::string aText) = 0;
   virtual Awaitable<std::vector<ListedInstance>> Instances() = 0;
+  // Lists this instance for kAnnounceLife, on platforms that do not list it by themselves.
+  virtual Awaitable<void> Announce(ListedInstance aSelf) = 0;
 };
 
 } // namespace vanillaloft::store
--- a/tests/unit/decide.cc
+++ b/tests/unit/decide.cc
@@ -185,9 +185,9 @@
 TEST_CASE("the longest route path wins and keys are found by digest")
 {
   ConfigPtr config = ParseConfig(SmallConfig());
-  CHECK(config->mRoutes[config->FindRoute("/s/order").At()].mKind == RouteKind::Order);
-  CHECK(config->mRoutes[config->FindRoute("/s/x").At()].mKind == RouteKind::Lookup);
-  CHECK(config->FindRoute("/t").IsNone());
+  CHECK(config->mRoutes[config->FindRoute("", "/s/order").At()].mKind == RouteKind::Order);
+  CHECK(config->mRoutes[config->FindRoute("", "/s/x").At()].mKind == RouteKind::Lookup);
+  CHECK(config->FindRoute("", "/t").IsNone());
   CHECK(config->FindKey(DigestKey("secret")) == OrganisationId(0));
   CHECK(config->FindKey(DigestKey("other")).IsNone());
 }
@@ -372,7 +372,7 @@
   CHECK(first.mKind == Admission::Kind::Start);
   Admission second = ledger.Admit(ticket, "shop", "body", kStart);
   CHECK(second.mRefusal == base::Result::OrderInProgress);
-  ledger.Finish(1, Outcome{ base::Result::Ok, 201, "text/plain", "done" });
+  ledger.Finish(1, Outcome{ base::Result::Ok, 201, "text/plain", "done", {}, {} });
   Admission third = ledger.Admit(ticket, "shop", "body", kStart + 1s);
   CHECK(third.mKind == Admission::Kind::Repeat);
   CHECK(third.mOutcome.mStatus == 201);
@@ -423,7 +423,7 @@
   }
   CHECK_FALSE(ledger.Issue("shop", kStart));
   std::string large(Ledger::kLargestKeptAnswer + 1, 'x');
-  ledger.Finish(1, Outcome{ base::Result::Ok, 200, "", large });
+  ledger.Finish(1, Outcome{ base::Result::Ok, 200, "", large, {}, {} });
   CHECK(ledger.AnswerBytes() == 0);
   CHECK(ledger.Issue("shop", kStart + 30s));
   CHECK(ledger.Size() == 1);
--- a/tests/world/world.cc
+++ b/tests/world/world.cc
@@ -1203,7 +1203,7 @@
   auto finish = [=, this](Result aResult) {
     Ledger& ledger = *mNodes[aNode]->mLedger;
     if (aResult == Result::Ok) {
-      ledger.Finish(sequence, Outcome{ Result::Ok, 200, "", "done" });
+      ledger.Finish(sequence, Outcome{ Result::Ok, 200, "", "done", {}, {} });
       aDone(Result::Ok);
     } else if (base::Row(aResult).mRan == base::Ran::No && aTries > 1) {
       StartOrder(aNode, aRequest, aDone, aTries - 1);
@@ -1211,7 +1211,7 @@
       ledger.Release(sequence);
       aDone(aResult);
     } else {
-      ledger.Finish(sequence, Outcome{ Result::OutcomeUnknown, 0, "", "" });
+      ledger.Finish(sequence, Outcome{ Result::OutcomeUnknown, 0, "", "", {}, {} });
       aDone(Result::OutcomeUnknown);
     }
   };
