Objects are held to few servers

Cause: a server answers fast about some 36 objects; every request went to any server with room, so all servers saw all 100 objects and all were slow.

--- a/src/decide/fleet.cc
+++ b/src/decide/fleet.cc
@@ -1,6 +1,7 @@
 #include "decide/fleet.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 #include <xxhash.h>
@@ -10,11 +11,13 @@
 namespace {
 
 // A load report counts half after this time.
-constexpr std::chrono::duration<double> kReportHalfLife{ 0.5 };
+constexpr std::chrono::duration<double> kReportHalfLife{ 2.0 };
 // Weight of the newest request in the share of faults.
 constexpr double kFaultSmoothing = 0.2;
 // A server with a larger share of faults is used only where no other has room.
 constexpr double kDoubtful = 0.25;
+// Servers of one object: in the own data centre, in other regions, and in the own region.
+constexpr std::array<std::size_t, 3> kMostByReach = { 2, 1, 1 };
 // First pause of a server that could not be reached, doubled for each further fault.
 constexpr Duration kFirstPause = std::chrono::milliseconds(250);
 constexpr unsigned kMostDoublings = 4;
@@ -135,29 +138,31 @@
   return sameRegion ? Reach::OwnRegion : Reach::Elsewhere;
 }
 
-// Best first: near before far, sound before doubtful, then by the object's own order.
+// The few servers that know an object, best first: sound before doubtful, then by reach,
+// then by the object's own order. A server answers fast only about a limited number of
+// objects, so an object that is not held to few servers slows all of them down.
 std::vector<Fleet::Ranked> Fleet::Rank(const Wish& aWish) const
 {
   std::vector<Ranked> ranked;
   for (const auto& [id, server] : mServers) {
-    if (!MayServe(*server, aWish)) {
-      continue;
-    }
-    Reach reach = ReachOf(*server);
-    if (reach == Reach::Own || aWish.mSpills) {
+    if (MayServe(*server, aWish)) {
       bool doubtful = server->mFaultShare > kDoubtful;
-      ranked.push_back({ reach, doubtful, HashOf(aWish.mObject, id), &server });
+      ranked.push_back({ ReachOf(*server), doubtful, HashOf(aWish.mObject, id), &server });
     }
   }
   std::ranges::sort(ranked, [](const Ranked& aLeft, const Ranked& aRight) {
-    if (aLeft.mDoubtful != aRight.mDoubtful) {
-      return aRight.mDoubtful;
-    }
     if (aLeft.mReach != aRight.mReach) {
       return aLeft.mReach < aRight.mReach;
     }
     return aLeft.mWeight > aRight.mWeight;
   });
+  std::array<std::size_t, kMostByReach.size()> taken{};
+  std::erase_if(ranked, [&](const Ranked& aCandidate) {
+    auto reach = static_cast<std::size_t>(aCandidate.mReach);
+    return ++taken.at(reach) > kMostByReach.at(reach);
+  });
+  std::ranges::stable_partition(
+    ranked, [](const Ranked& aCandidate) { return !aCandidate.mDoubtful; });
   return ranked;
 }
 
@@ -174,7 +179,7 @@
     return false;
   }
   double load = aServer.mInFlight + OthersNow(aServer, aNow);
-  if (load + 1 > double(aServer.mRegistration.mSlots) + 0.5) {
+  if (load + 1 > double(aServer.mRegistration.mSlots) + 0.2) {
     return false;
   }
   if (!Paces(aServer, aNow)) {
--- a/src/decide/fleet.h
+++ b/src/decide/fleet.h
@@ -87,7 +87,6 @@
   std::vector<RegionId> mHomes; // both lists bind if they are not empty
   std::vector<RegionId> mMoreHomes;
   std::vector<const Server*> mTried;
-  bool mSpills = true; // may leave the own data centre
 };
 
 // Why no server was chosen.
@@ -137,11 +136,12 @@
   std::size_t CountOf(ServiceId aService) const;
 
 private:
+  // Traffic inside a region but between its data centres is the dearest.
   enum class Reach : std::uint8_t
   {
     Own,
-    OwnRegion,
-    Elsewhere
+    Elsewhere,
+    OwnRegion
   };
   struct Ranked
   {
--- a/src/entry/direct.cc
+++ b/src/entry/direct.cc
@@ -146,7 +146,7 @@
   Target target{ registration.mId, registration.mAddress };
   ++aTries.mSends;
   aTries.mServers.push_back(aServer);
-  aExchange.mServers += (aExchange.mServers.empty() ? "" : ",") + registration.mId;
+  Instant sent = mCore.Now();
   ServerAnswer answer;
   std::optional<RequestError> failure;
   try {
@@ -155,6 +155,7 @@
   } catch (const RequestError& error) {
     failure = error;
   }
+  NoteSend(aExchange, *aServer, sent, answer);
   if (failure) {
     Ended(aServer, FailureOf(*failure, aExchange));
     throw RequestError(*failure);
@@ -173,6 +174,27 @@
   co_return std::move(answer.mOutcome);
 }
 
+// "server:waited-ms:took-ms:load/others" for each send.
+void DirectPlacement::NoteSend(Exchange& aExchange,
+                               const decide::Server& aServer,
+                               Instant aSent,
+                               const ServerAnswer& aAnswer) const
+{
+  using std::chrono::milliseconds;
+  auto waited = std::chrono::duration_cast<milliseconds>(aSent - aExchange.mArrival);
+  auto took = std::chrono::duration_cast<milliseconds>(mCore.Now() - aSent);
+  decide::LoadReport load = aAnswer.mLoad.value_or(decide::LoadReport());
+  aExchange.mSends += fmt::format("{}{}@{}:{}:{}:{}+{}/{}",
+                                  aExchange.mSends.empty() ? "" : ",",
+                                  aServer.Id(),
+                                  aServer.mRegistration.mDataCentre,
+                                  waited.count(),
+                                  took.count(),
+                                  load.mRunning,
+                                  load.mWaiting,
+                                  load.mSlots);
+}
+
 bool DirectPlacement::MayTryAgain(const Exchange& aExchange,
                                   const Tries& aTries,
                                   Result aCode)
--- a/src/entry/direct.h
+++ b/src/entry/direct.h
@@ -51,6 +51,10 @@
   Awaitable<decide::Outcome> SendTo(Exchange& aExchange,
                                     decide::ServerPtr aServer,
                                     Tries& aTries);
+  void NoteSend(Exchange& aExchange,
+                const decide::Server& aServer,
+                Instant aSent,
+                const ServerAnswer& aAnswer) const;
   void Ended(const decide::ServerPtr& aServer, decide::SendResult aResult);
   bool MayTryAgain(const Exchange& aExchange, const Tries& aTries, Result aCode);
   decide::Wish WishOf(const Exchange& aExchange, const Tries& aTries) const;
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -44,7 +44,7 @@
   Instant mArrival{};
   Instant mDeadline{};
   CallerLink* mCaller = nullptr; // none on requests from peers
-  std::string mServers;          // names of those that it was sent to, for the log
+  std::string mSends;            // each send and how it ended, for the log
 
   const decide::Route& RouteInForce() const { return mConfig->mRoutes[mRoute.At()]; }
   const std::string& ServiceName() const { return mConfig->mServices[mService.At()].mName; }
--- a/src/entry/pipeline.cc
+++ b/src/entry/pipeline.cc
@@ -96,13 +96,14 @@
   mCore.mMetrics.CountRequest(service, aOutcome.mResult, took);
   base::Log(spdlog::level::info,
             base::Event::RequestEnded,
-            "request={} service={} result={} status={} servers={} took_ms={}",
+            "request={} service={} object={} result={} status={} took_ms={} sends={}",
             aExchange.mRequestId,
             service,
+            aExchange.mObject,
             base::Row(aOutcome.mResult).mName,
             aOutcome.mStatus,
-            aExchange.mServers,
-            std::chrono::duration_cast<std::chrono::milliseconds>(took).count());
+            std::chrono::duration_cast<std::chrono::milliseconds>(took).count(),
+            aExchange.mSends);
 }
 
 decide::OrganisationId Pipeline::Identify(const std::string& aKey) const
