Requests wait for a server that knows their object before they spill

Now the others' load is the mean of the reports plus a fading excess, and a server that does not know the object is taken only after an eighth of the latency target.

--- a/src/decide/fleet.cc
+++ b/src/decide/fleet.cc
@@ -10,8 +10,18 @@
 
 namespace {
 
-// A load report counts half after this time.
-constexpr std::chrono::duration<double> kReportHalfLife{ 2.0 };
+using Seconds = std::chrono::duration<double>;
+
+// A load report differs from the mean by half as much after this time.
+constexpr Seconds kReportHalfLife{ 0.25 };
+// The mean of the reports counts half after this time without one.
+constexpr Seconds kMeanHalfLife{ 2.0 };
+// Weight of the newest report in the mean.
+constexpr double kReportSmoothing = 0.2;
+// A server answers fast about an object for at least this long.
+constexpr Duration kKnownFor = std::chrono::seconds(5);
+// Objects that are remembered for each server before old ones are dropped.
+constexpr std::size_t kMostKnown = 256;
 // Weight of the newest request in the share of faults.
 constexpr double kFaultSmoothing = 0.2;
 // A server with a larger share of faults is used only where no other has room.
@@ -49,8 +59,10 @@
 
 double OthersNow(const Server& aServer, Instant aNow)
 {
-  std::chrono::duration<double> age = aNow - aServer.mReportedAt;
-  return aServer.mOthers * std::exp2(-(age / kReportHalfLife));
+  Seconds age = aNow - aServer.mReportedAt;
+  double mean = aServer.mOthersMean * std::exp2(-(age / kMeanHalfLife));
+  double excess = aServer.mOthers - aServer.mOthersMean;
+  return std::max(0.0, mean + excess * std::exp2(-(age / kReportHalfLife)));
 }
 
 void Fleet::SetConfig(ConfigPtr aConfig)
@@ -195,16 +207,38 @@
   return aServer.mColdPace.Take(kToken, aNow);
 }
 
+bool Fleet::Knows(const Server& aServer, std::uint64_t aObject, Instant aNow)
+{
+  auto found = aServer.mKnows.find(aObject);
+  return found != aServer.mKnows.end() && aNow - found->second < kKnownFor;
+}
+
+void Fleet::Learn(Server& aServer, std::uint64_t aObject, Instant aNow)
+{
+  if (aServer.mKnows.size() >= kMostKnown) {
+    std::erase_if(aServer.mKnows, [&](const auto& aEntry) {
+      return aNow - aEntry.second >= kKnownFor;
+    });
+  }
+  aServer.mKnows[aObject] = aNow;
+}
+
+// The first of the object's servers, or one that already knows the object. A further one
+// answers slowly at first, so it is taken only after waiting for the others.
 Choice Fleet::Choose(const Wish& aWish, Instant aNow)
 {
   if (!mConfig) {
     return {};
   }
+  std::uint64_t object = HashOf(aWish.mObject, "");
   std::vector<Ranked> ranked = Rank(aWish);
   for (const Ranked& candidate : ranked) {
     Server& server = **candidate.mServer;
-    if (HasRoom(server, aNow)) {
+    bool welcome = &candidate == &ranked.front() || aWish.mMaySpill ||
+                   Knows(server, object, aNow);
+    if (welcome && HasRoom(server, aNow)) {
       ++server.mInFlight;
+      Learn(server, object, aNow);
       return { *candidate.mServer, NoChoice::None };
     }
   }
@@ -217,6 +251,7 @@
   // The answered request itself has left the server's count by now.
   double own = aServer->mInFlight > 0 ? aServer->mInFlight - 1 : 0;
   aServer->mOthers = std::max(0.0, total - own);
+  aServer->mOthersMean += kReportSmoothing * (aServer->mOthers - aServer->mOthersMean);
   aServer->mReportedAt = aNow;
 }
 
--- a/src/decide/fleet.h
+++ b/src/decide/fleet.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "base/settings.h"
@@ -66,11 +67,14 @@
   Instant mColdUntil{};
   Instant mPausedUntil{};
   Instant mReportedAt{};
-  double mOthers = 0;    // requests of other instances, as of mReportedAt
+  double mOthers = 0;     // requests of other instances, as of mReportedAt
+  double mOthersMean = 0; // smoothed over reports
   double mFaultShare = 0; // smoothed share of requests that went wrong
   unsigned mFaultsInRow = 0;
   unsigned mInFlight = 0; // of this instance
   Bucket mColdPace;
+  // When this instance last sent a request about an object, by the object's hash.
+  std::unordered_map<std::uint64_t, Instant> mKnows;
   bool mGone = false;   // no registration any more
   bool mLapsed = false; // registration missing; it may be back soon
 
@@ -87,6 +91,7 @@
   std::vector<RegionId> mHomes; // both lists bind if they are not empty
   std::vector<RegionId> mMoreHomes;
   std::vector<const Server*> mTried;
+  bool mMaySpill = false; // may go to a server that does not know the object yet
 };
 
 // Why no server was chosen.
@@ -154,6 +159,8 @@
   void Resolve(Server& aServer) const;
   bool MayServe(const Server& aServer, const Wish& aWish) const;
   bool HasRoom(Server& aServer, Instant aNow) const;
+  static bool Knows(const Server& aServer, std::uint64_t aObject, Instant aNow);
+  static void Learn(Server& aServer, std::uint64_t aObject, Instant aNow);
   bool Paces(const Server& aServer, Instant aNow) const;
   Reach ReachOf(const Server& aServer) const;
   std::vector<Ranked> Rank(const Wish& aWish) const;
@@ -167,8 +174,8 @@
   std::size_t mTurn = 0;
 };
 
-// Load of a server that is not this instance's own, as it is believed now. A report
-// fades, because the requests that it counted end.
+// Load of a server that is not this instance's own, as it is believed now. A report soon
+// says no more than the mean of the reports, and that fades when none come.
 double OthersNow(const Server& aServer, Instant aNow);
 
 } // namespace vanillaloft::decide
--- a/src/entry/direct.cc
+++ b/src/entry/direct.cc
@@ -122,16 +122,17 @@
   Duration target = aExchange.RouteInForce().mLatencyTarget;
   Duration wait = target > Duration::zero() ? target / kWaitPart : kWaitWithoutTarget;
   Instant until = std::min(mCore.Now() + wait, aExchange.mDeadline);
+  decide::Wish wish = WishOf(aExchange, aTries);
   for (;;) {
-    decide::Choice choice =
-      mCore.mFleet.Choose(WishOf(aExchange, aTries), mCore.Now());
+    wish.mMaySpill = mCore.Now() >= until;
+    decide::Choice choice = mCore.mFleet.Choose(wish, mCore.Now());
     if (choice.mServer) {
       co_return choice.mServer;
     }
     if (choice.mWhy == decide::NoChoice::None) {
       throw RequestError(Result::NoBackendServer);
     }
-    if (mCore.Now() >= until || aExchange.CallerGone()) {
+    if (wish.mMaySpill || aExchange.CallerGone()) {
       throw RequestError(Result::QueueTimeout);
     }
     co_await WaitForRoom(aExchange, until);
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -48,6 +48,11 @@
 
   const decide::Route& RouteInForce() const { return mConfig->mRoutes[mRoute.At()]; }
   const std::string& ServiceName() const { return mConfig->mServices[mService.At()].mName; }
+  std::string OrganisationOr(const char* aOtherwise) const
+  {
+    return mOrganisation.IsNone() ? aOtherwise
+                                  : mConfig->mOrganisations[mOrganisation.At()].mName;
+  }
   bool CallerGone() const { return mCaller && mCaller->mGone; }
 };
 
--- a/src/entry/pipeline.cc
+++ b/src/entry/pipeline.cc
@@ -96,9 +96,11 @@
   mCore.mMetrics.CountRequest(service, aOutcome.mResult, took);
   base::Log(spdlog::level::info,
             base::Event::RequestEnded,
-            "request={} service={} object={} result={} status={} took_ms={} sends={}",
+            "request={} service={} organisation={} object={} result={} status={} took_ms={} "
+            "sends={}",
             aExchange.mRequestId,
             service,
+            aExchange.OrganisationOr("-"),
             aExchange.mObject,
             base::Row(aOutcome.mResult).mName,
             aOutcome.mStatus,
