--- a/src/daemon/follow.cc
+++ b/src/daemon/follow.cc
@@ -17,14 +17,14 @@
 constexpr std::chrono::milliseconds kWait{ 5000 };
 // Changes that come close together arrive with one call.
 constexpr Duration kGather = std::chrono::milliseconds(400);
-constexpr Duration kRetry = std::chrono::milliseconds(300);
+constexpr Duration kRetry = std::chrono::milliseconds(150);
 // The configuration is read when nobody confirmed it for this long.
 constexpr Duration kConfirmAfter = std::chrono::milliseconds(1200);
 constexpr int kConfirmLook = 300;   // milliseconds between two looks
 constexpr int kConfirmSpread = 300; // milliseconds by which instances differ
-// A registration that lapsed during an outage is back within two seconds if its server
-// lives. Outages count as recent for a little longer than it takes to notice their end.
-constexpr Duration kReturnTime = std::chrono::milliseconds(2300);
+// A registration that lapsed during an outage is back within two seconds of its end if the
+// server lives; the end is noticed a little later. Outages count as recent for longer.
+constexpr Duration kReturnTime = std::chrono::milliseconds(1700);
 constexpr Duration kRecentOutage = std::chrono::seconds(3);
 
 } // namespace
@@ -70,7 +70,7 @@
       position.mListed = false;
       pause = Duration::zero();
     } catch (const store::StoreError& error) {
-      spdlog::debug("following {} failed: {}", position.mPrefix, error.what());
+      spdlog::info("following {} failed: {}", position.mPrefix, error.what());
       pause = kRetry;
     }
     co_await Sleep(pause);
@@ -223,7 +223,7 @@
     Apply({ mReader.ConfigKey(), std::move(value.mText), value.mVersion, false });
     mCore.Confirm(mCore.Now() - asked);
   } catch (const store::StoreError& error) {
-    spdlog::debug("configuration not confirmed: {}", error.what());
+    spdlog::info("configuration not confirmed: {}", error.what());
     NoteStore(false);
   }
 }
--- a/src/daemon/loops.cc
+++ b/src/daemon/loops.cc
@@ -344,6 +344,17 @@
   return longest;
 }
 
+// Until then callers with cached answers still come. Peers answer look-ups with this
+// instance until they hear from it that it leaves.
+Instant Loops::LastNewRequest() const
+{
+  Duration serves = mCore.mSettings.mStopServes;
+  if (serves == Duration::zero()) {
+    serves = LongestLookUpLife() + mCore.mSettings.mMemberTimeout;
+  }
+  return mCore.Now() + std::min(serves, mCore.mSettings.mStopTimeout);
+}
+
 Awaitable<void> Loops::Stop()
 {
   Log(spdlog::level::info, Event::Stopping, "");
@@ -351,17 +362,13 @@
   mLookUps.Rebuild();
   BeatAll();
   Instant latest = mCore.Now() + mCore.mSettings.mStopTimeout;
-  // Peers answer look-ups with this instance until they hear from it that it leaves.
-  Instant cached = mCore.Now() + LongestLookUpLife() + mCore.mSettings.mMemberTimeout;
-  auto busy = [&] {
-    return mCore.Now() < cached || mCore.mLedger.HasUnexpired(mCore.Now()) ||
-           mCore.mRunning > 0;
-  };
-  while (busy() && mCore.Now() < latest) {
+  Instant lastNew = LastNewRequest();
+  while (mCore.Now() < lastNew ||
+         (mCore.mLedger.HasUnexpired(mCore.Now()) && mCore.Now() < latest)) {
     co_await Sleep(kTick);
   }
-  co_await GiveSharesBack();
   mCore.mStopped = true;
+  asio::co_spawn(mCore.mContext, GiveSharesBack(), asio::detached);
   mBeating.clear();
   BeatAll();
   while (mCore.mRunning > 0 && mCore.Now() < latest) {
--- a/src/daemon/loops.h
+++ b/src/daemon/loops.h
@@ -66,6 +66,7 @@
   Awaitable<void> ReadInstances();
   Awaitable<void> Announce();
   Duration LongestLookUpLife() const;
+  Instant LastNewRequest() const;
   Awaitable<void> Sleep(Duration aTime);
   void NoteStore(bool aAvailable);
   void NotePeers();
--- a/src/decide/fleet.cc
+++ b/src/decide/fleet.cc
@@ -224,25 +224,54 @@
 }
 
 // The first of the object's servers, or one that already knows the object. A further one
-// answers slowly at first, so it is taken only after waiting for the others.
+// answers slowly at first, so it is taken only after waiting for the others. Servers of
+// other regions are left out where traffic would move there too fast, and come first
+// where it would move back too fast.
+const Fleet::Ranked* Fleet::Pick(const std::vector<Ranked>& aRanked,
+                                 const Wish& aWish,
+                                 Instant aNow)
+{
+  std::uint64_t object = HashOf(aWish.mObject, "");
+  bool inRegion = std::ranges::any_of(
+    aRanked, [](const Ranked& aEntry) { return aEntry.mReach != Reach::Elsewhere; });
+  bool mayLeave = !inRegion || mRamp.MayLeave(aNow);
+  bool shouldLeave = inRegion && mRamp.ShouldLeave(aNow);
+  auto takes = [&](const Ranked& aEntry, bool aElsewhereOnly) {
+    Server& server = **aEntry.mServer;
+    bool leaves = aEntry.mReach == Reach::Elsewhere;
+    bool welcome =
+      &aEntry == &aRanked.front() || aWish.mMaySpill || Knows(server, object, aNow);
+    return leaves >= aElsewhereOnly && (!leaves || mayLeave) && welcome &&
+           HasRoom(server, aNow);
+  };
+  for (bool elsewhereOnly : { true, false }) {
+    if (elsewhereOnly && !shouldLeave) {
+      continue;
+    }
+    for (const Ranked& entry : aRanked) {
+      if (takes(entry, elsewhereOnly)) {
+        return &entry;
+      }
+    }
+  }
+  return nullptr;
+}
+
 Choice Fleet::Choose(const Wish& aWish, Instant aNow)
 {
   if (!mConfig) {
     return {};
   }
-  std::uint64_t object = HashOf(aWish.mObject, "");
   std::vector<Ranked> ranked = Rank(aWish);
-  for (const Ranked& candidate : ranked) {
-    Server& server = **candidate.mServer;
-    bool welcome = &candidate == &ranked.front() || aWish.mMaySpill ||
-                   Knows(server, object, aNow);
-    if (welcome && HasRoom(server, aNow)) {
-      ++server.mInFlight;
-      Learn(server, object, aNow);
-      return { *candidate.mServer, NoChoice::None };
-    }
+  const Ranked* picked = Pick(ranked, aWish, aNow);
+  if (!picked) {
+    return { nullptr, ranked.empty() ? NoChoice::None : NoChoice::Full };
   }
-  return { nullptr, ranked.empty() ? NoChoice::None : NoChoice::Full };
+  Server& server = **picked->mServer;
+  ++server.mInFlight;
+  Learn(server, HashOf(aWish.mObject, ""), aNow);
+  mRamp.Count(picked->mReach == Reach::Elsewhere, aNow);
+  return { *picked->mServer, NoChoice::None };
 }
 
 void Fleet::Report(const ServerPtr& aServer, const LoadReport& aLoad, Instant aNow)
--- a/src/decide/fleet.h
+++ b/src/decide/fleet.h
@@ -15,6 +15,7 @@
 #include "base/settings.h"
 #include "decide/config.h"
 #include "decide/member.h"
+#include "decide/ramp.h"
 
 namespace vanillaloft::decide {
 
@@ -107,12 +108,17 @@
   NoChoice mWhy = NoChoice::None;
 };
 
+constexpr Duration kShiftWindow = std::chrono::seconds(2);
+
 class Fleet
 {
 public:
-  Fleet(std::string aOwnDataCentre, const Members& aMembers)
+  // aMostShift: share of the requests by which the part that leaves the region may change
+  // within kShiftWindow.
+  Fleet(std::string aOwnDataCentre, const Members& aMembers, double aMostShift)
     : mOwnName(std::move(aOwnDataCentre))
     , mMembers(aMembers)
+    , mRamp(aMostShift, kShiftWindow)
   {
   }
 
@@ -162,6 +168,7 @@
   static bool Knows(const Server& aServer, std::uint64_t aObject, Instant aNow);
   static void Learn(Server& aServer, std::uint64_t aObject, Instant aNow);
   bool Paces(const Server& aServer, Instant aNow) const;
+  const Ranked* Pick(const std::vector<Ranked>& aRanked, const Wish& aWish, Instant aNow);
   Reach ReachOf(const Server& aServer) const;
   std::vector<Ranked> Rank(const Wish& aWish) const;
 
@@ -171,7 +178,7 @@
   DataCentreId mOwn;
   std::map<std::string, ServerPtr> mServers; // by registered name
   std::set<std::string> mEvacuated;          // names of data centres
-  std::size_t mTurn = 0;
+  ShiftRamp mRamp;
 };
 
 // Load of a server that is not this instance's own, as it is believed now. A report soon
--- /dev/null
+++ b/src/decide/ramp.h
@@ -0,0 +1,53 @@
+// Limit on how fast traffic moves between regions, so that nobody's servers are met by a
+// sudden wave of objects that they do not know. Compares the share of requests that left
+// the own region within a window with that of the window before, in both directions.
+#pragma once
+
+#include <deque>
+
+#include "base/types.h"
+
+namespace vanillaloft::decide {
+
+class ShiftRamp
+{
+public:
+  // aMostChange is a share of the requests, from 0 to 1.
+  ShiftRamp(double aMostChange, base::Duration aWindow)
+    : mMostChange(aMostChange)
+    , mWindow(aWindow)
+  {
+  }
+
+  // True if one more request may leave the region.
+  bool MayLeave(base::Instant aNow);
+  // True if fewer requests would leave than the ramp allows.
+  bool ShouldLeave(base::Instant aNow);
+  // Counts a request that was sent.
+  void Count(bool aLeft, base::Instant aNow);
+
+private:
+  struct Sent
+  {
+    base::Instant mAt{};
+    bool mLeft = false;
+  };
+  struct Tally
+  {
+    double mTotal = 0;
+    double mLeft = 0;
+
+    double Share() const { return mTotal > 0 ? mLeft / mTotal : 0; }
+  };
+
+  void Forget(base::Instant aNow);
+
+  double mMostChange;
+  base::Duration mWindow;
+  std::deque<Sent> mRecent; // of the window now
+  std::deque<Sent> mOlder;  // of the window before
+  Tally mNow;
+  Tally mBefore;
+};
+
+} // namespace vanillaloft::decide
--- a/src/entry/core.cc
+++ b/src/entry/core.cc
@@ -69,7 +69,7 @@
   , mSettings(std::move(aSettings))
   , mMembers(aSelf.mAddress, mSettings.mDataCentre, mSettings.mMemberTimeout)
   , mSteer(mSettings.mDataCentre)
-  , mFleet(mSettings.mDataCentre, mMembers)
+  , mFleet(mSettings.mDataCentre, mMembers, mSettings.mMostShift)
   , mShares(aSelf, mSettings.mDataCentre, mSettings.mNewcomerWait)
   , mLedger(aSelf, std::move(aSecret), mSettings.mTicketLife)
   , mPeers(aContext)
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -65,6 +65,9 @@
   Duration mTicketLife{};
   Duration mRequestTimeout{}; // for the arrival of a whole request
   Duration mStopTimeout{};    // longest planned stop
+  // A stopping instance takes new requests for at most this long; zero: until callers'
+  // cached answers have expired.
+  Duration mStopServes{};
   Duration mBeatInterval = decide::kBeatInterval;
   Duration mMemberTimeout = decide::kMemberTimeout;
   Duration mConfirmationLife = kConfirmationLife;
@@ -72,6 +75,8 @@
   // Retries that the whole fleet may save up for a service; zero: kRetryReserve for each
   // instance.
   double mFleetRetryReserve = 0;
+  // Share of the requests that may change their region within decide::kShiftWindow.
+  double mMostShift = 1;
   // A new instance waits this long before it takes shares.
   Duration mNewcomerWait = decide::kNewcomerWait;
   ConfigReader mReadConfig = decide::ParseConfig;
--- a/src/net/http.cc
+++ b/src/net/http.cc
@@ -100,7 +100,7 @@
                              std::chrono::milliseconds aTimeout)
 {
   Connection connection(co_await asio::this_coro::executor);
-  co_await connection.Connect(aTo, aTimeout);
+  co_await connection.Connect(aTo, std::min(aTimeout, kConnectLimit));
   aRequest.set(http::field::host, aTo.mHost);
   aRequest.keep_alive(false);
   aRequest.prepare_payload();
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -57,6 +57,10 @@
 // Makes the system close a connection whose peer has fallen silent.
 void LimitSilence(boost::asio::ip::tcp::socket& aSocket);
 
+// Longest time to establish a connection: a lost opening packet is sent again after a
+// second, which is too late for most callers.
+constexpr std::chrono::milliseconds kConnectLimit{ 500 };
+
 // One client connection. A call that fails leaves it unusable: a late answer must never
 // be taken for the answer to a later request.
 class Connection
