--- a/src/entry/admission.cc
+++ b/src/entry/admission.cc
@@ -12,7 +12,8 @@
 namespace {
 
 constexpr std::size_t kMostAsks = 4; // holders asked in one round
-constexpr Duration kAskPause = std::chrono::milliseconds(20);
+// While no holder has tokens to give, one request in this time asks again for all.
+constexpr Duration kAskPause = std::chrono::milliseconds(100);
 constexpr Duration kShortestWait = std::chrono::milliseconds(2);
 constexpr Duration kLongestWait = std::chrono::milliseconds(20);
 constexpr std::chrono::milliseconds kAskTimeout{ 60 };
@@ -59,6 +60,28 @@
   co_return false;
 }
 
+// Holders that had nothing to give are left in peace for a while: requests beyond a limit
+// would otherwise cost more than those within it.
+Awaitable<bool> Admission::AskIfWorthwhile(std::string aKey,
+                                           decide::BudgetId aBudget,
+                                           decide::MicroTokens aAmount,
+                                           bool aFirst)
+{
+  auto dry = mDryUntil.find(aKey);
+  if (dry != mDryUntil.end()) {
+    if (mCore.Now() < dry->second) {
+      co_return false;
+    }
+    dry->second = mCore.Now() + kAskPause;
+  }
+  if (co_await AskHolders(aBudget, aAmount, aFirst)) {
+    mDryUntil.erase(aKey);
+    co_return true;
+  }
+  mDryUntil[aKey] = mCore.Now() + kAskPause;
+  co_return false;
+}
+
 Awaitable<bool> Admission::TakeTokens(decide::BudgetId aBudget,
                                       decide::MicroTokens aAmount,
                                       Instant aUntil)
@@ -73,11 +96,8 @@
     if (mCore.mShares.Spend(aBudget, aAmount, mCore.Now())) {
       co_return true;
     }
-    if (mCore.Now() >= mNoAskUntil[key]) {
-      if (co_await AskHolders(aBudget, aAmount, first)) {
-        co_return true;
-      }
-      mNoAskUntil[key] = mCore.Now() + kAskPause;
+    if (co_await AskIfWorthwhile(key, aBudget, aAmount, first)) {
+      co_return true;
     }
     if (config != mCore.Config()) {
       co_return false;
--- a/src/entry/admission.h
+++ b/src/entry/admission.h
@@ -50,6 +50,10 @@
     std::optional<decide::Slot> mSlot;
   };
 
+  Awaitable<bool> AskIfWorthwhile(std::string aKey,
+                                  decide::BudgetId aBudget,
+                                  decide::MicroTokens aAmount,
+                                  bool aFirst);
   Awaitable<bool> AskHolders(decide::BudgetId aBudget,
                              decide::MicroTokens aAmount,
                              bool aFirst);
@@ -58,7 +62,7 @@
   std::map<std::string, decide::FairQueue> mQueues; // by service name
   std::map<decide::WaiterId, Waiter*> mWaiters;
   decide::WaiterId mNextWaiter = 1;
-  std::map<std::string, Instant> mNoAskUntil; // by budget, after a round of refusals
+  std::map<std::string, Instant> mDryUntil; // by budget, while no holder has tokens
 };
 
 } // namespace vanillaloft::entry
