The shift ramp follows demand at a bounded speed; tests of choice and adapter

Now the share moves at a bounded speed and single requests leave by its credit; a cold server's pace is taken only by the request that is sent. New: unit tests of decide/fleet, ramp and route, and of platform/.

--- a/src/decide/fleet.cc
+++ b/src/decide/fleet.cc
@@ -37,6 +37,8 @@
 // themselves for its owner for a moment, which together stay under the pace's excess.
 constexpr double kColdPart = 0.7;
 constexpr double kColdBurst = 2;
+// Room for a part of a request, since the load of other instances is an estimate.
+constexpr double kOverfill = 0.2;
 
 std::uint64_t HashOf(const std::string& aObject, const std::string& aServer)
 {
@@ -191,7 +193,7 @@
     return false;
   }
   double load = aServer.mInFlight + OthersNow(aServer, aNow);
-  if (load + 1 > double(aServer.mRegistration.mSlots) + 0.2) {
+  if (load + 1 > double(aServer.mRegistration.mSlots) + kOverfill) {
     return false;
   }
   if (!Paces(aServer, aNow)) {
@@ -204,7 +206,14 @@
   }
   aServer.mColdPace.SetRate(
     ColdRate(mConfig->mServices[aServer.mService.At()].mColdPerSecond), aNow);
-  return aServer.mColdPace.Take(kToken, aNow);
+  return aServer.mColdPace.Level(aNow) >= kToken;
+}
+
+void Fleet::TakePace(Server& aServer, Instant aNow) const
+{
+  if (Paces(aServer, aNow)) {
+    aServer.mColdPace.Take(kToken, aNow);
+  }
 }
 
 bool Fleet::Knows(const Server& aServer, std::uint64_t aObject, Instant aNow)
@@ -232,29 +241,31 @@
                                  Instant aNow)
 {
   std::uint64_t object = HashOf(aWish.mObject, "");
-  bool inRegion = std::ranges::any_of(
-    aRanked, [](const Ranked& aEntry) { return aEntry.mReach != Reach::Elsewhere; });
-  bool mayLeave = !inRegion || mRamp.MayLeave(aNow);
-  bool shouldLeave = inRegion && mRamp.ShouldLeave(aNow);
-  auto takes = [&](const Ranked& aEntry, bool aElsewhereOnly) {
-    Server& server = **aEntry.mServer;
-    bool leaves = aEntry.mReach == Reach::Elsewhere;
+  const Ranked* near = nullptr; // best in the region
+  const Ranked* far = nullptr;  // best in other regions
+  bool inRegion = false;
+  for (const Ranked& entry : aRanked) {
+    bool leaves = entry.mReach == Reach::Elsewhere;
+    inRegion = inRegion || !leaves;
+    const Ranked*& best = leaves ? far : near;
+    Server& server = **entry.mServer;
     bool welcome =
-      &aEntry == &aRanked.front() || aWish.mMaySpill || Knows(server, object, aNow);
-    return leaves >= aElsewhereOnly && (!leaves || mayLeave) && welcome &&
-           HasRoom(server, aNow);
-  };
-  for (bool elsewhereOnly : { true, false }) {
-    if (elsewhereOnly && !shouldLeave) {
-      continue;
-    }
-    for (const Ranked& entry : aRanked) {
-      if (takes(entry, elsewhereOnly)) {
-        return &entry;
-      }
+      &entry == &aRanked.front() || aWish.mMaySpill || Knows(server, object, aNow);
+    if (!best && welcome && HasRoom(server, aNow)) {
+      best = &entry;
     }
   }
-  return nullptr;
+  if (!inRegion || !far) {
+    return near ? near : far;
+  }
+  if (near && (near->mReach == Reach::Own || near < far)) {
+    return mRamp.MustLeave(aNow) ? far : near;
+  }
+  if (mRamp.MayLeave(aNow)) {
+    return far;
+  }
+  mRamp.Denied(aNow);
+  return near;
 }
 
 Choice Fleet::Choose(const Wish& aWish, Instant aNow)
@@ -269,6 +280,7 @@
   }
   Server& server = **picked->mServer;
   ++server.mInFlight;
+  TakePace(server, aNow);
   Learn(server, HashOf(aWish.mObject, ""), aNow);
   mRamp.Count(picked->mReach == Reach::Elsewhere, aNow);
   return { *picked->mServer, NoChoice::None };
--- a/src/decide/fleet.h
+++ b/src/decide/fleet.h
@@ -165,6 +165,7 @@
   void Resolve(Server& aServer) const;
   bool MayServe(const Server& aServer, const Wish& aWish) const;
   bool HasRoom(Server& aServer, Instant aNow) const;
+  void TakePace(Server& aServer, Instant aNow) const;
   static bool Knows(const Server& aServer, std::uint64_t aObject, Instant aNow);
   static void Learn(Server& aServer, std::uint64_t aObject, Instant aNow);
   bool Paces(const Server& aServer, Instant aNow) const;
--- a/src/decide/ramp.cc
+++ b/src/decide/ramp.cc
@@ -6,48 +6,49 @@
 
 namespace {
 
-// With fewer requests in a window a share says little; one request may always leave.
-constexpr double kFewest = 10;
+using Seconds = std::chrono::duration<double>;
+
+// Part of the allowed change that single requests use at once.
+constexpr double kFreePart = 0.25;
+// The share grows while requests were denied within this time, and shrinks otherwise.
+constexpr base::Duration kDenialLife = std::chrono::milliseconds(200);
+// Credit is kept for this many requests at most, either way.
+constexpr double kMostCredit = 2;
 
 } // namespace
 
-void ShiftRamp::Forget(base::Instant aNow)
+ShiftRamp::ShiftRamp(double aMostChange, base::Duration aWindow)
+  : mFreeShare(aMostChange * kFreePart)
+  , mSpeed(aMostChange * (1 - kFreePart) / Seconds(aWindow).count())
+  , mShare(mFreeShare)
+{
+}
+
+void ShiftRamp::Move(base::Instant aNow)
 {
-  while (!mRecent.empty() && aNow - mRecent.front().mAt >= mWindow) {
-    Sent sent = mRecent.front();
-    mRecent.pop_front();
-    mOlder.push_back(sent);
-    --mNow.mTotal;
-    mNow.mLeft -= sent.mLeft ? 1 : 0;
-    ++mBefore.mTotal;
-    mBefore.mLeft += sent.mLeft ? 1 : 0;
-  }
-  while (!mOlder.empty() && aNow - mOlder.front().mAt >= 2 * mWindow) {
-    --mBefore.mTotal;
-    mBefore.mLeft -= mOlder.front().mLeft ? 1 : 0;
-    mOlder.pop_front();
-  }
+  Seconds passed = std::min(aNow - mMovedAt, kDenialLife);
+  mMovedAt = aNow;
+  bool wanted = mDeniedAt != base::Instant() && aNow - mDeniedAt < kDenialLife;
+  double change = mSpeed * passed.count() * (wanted ? 1 : -1);
+  mShare = std::clamp(mShare + change, mFreeShare, 1.0);
 }
 
 bool ShiftRamp::MayLeave(base::Instant aNow)
 {
-  Forget(aNow);
-  double total = std::max(mNow.mTotal + 1, kFewest);
-  return mNow.mLeft + 1 <= (mBefore.Share() + mMostChange) * total;
+  Move(aNow);
+  return mCredit + mShare >= 1;
 }
 
-bool ShiftRamp::ShouldLeave(base::Instant aNow)
+bool ShiftRamp::MustLeave(base::Instant aNow)
 {
-  Forget(aNow);
-  return mNow.mLeft < (mBefore.Share() - mMostChange) * (mNow.mTotal + 1);
+  Move(aNow);
+  return mShare > mFreeShare && mCredit + mShare - mFreeShare >= kMostCredit;
 }
 
 void ShiftRamp::Count(bool aLeft, base::Instant aNow)
 {
-  Forget(aNow);
-  mRecent.push_back({ aNow, aLeft });
-  ++mNow.mTotal;
-  mNow.mLeft += aLeft ? 1 : 0;
+  Move(aNow);
+  mCredit = std::clamp(mCredit + mShare - (aLeft ? 1 : 0), -kMostCredit, kMostCredit);
 }
 
 } // namespace vanillaloft::decide
--- /dev/null
+++ b/tests/unit/decide_fleet.cc
@@ -0,0 +1,296 @@
+// Tests of the choice of backend servers by registration: patterns of load that met the
+// users' heaviest days.
+#include <algorithm>
+#include <set>
+
+#include <doctest/doctest.h>
+
+#include <fmt/format.h>
+
+#include "decide/fleet.h"
+#include "decide/ramp.h"
+#include "decide/route.h"
+
+using namespace vanillaloft::decide;
+using namespace std::chrono_literals;
+namespace base = vanillaloft::base;
+
+namespace {
+
+constexpr Instant kStart{ 1000s };
+constexpr double kAnyShift = 1.0;
+
+// Two regions of two data centres each, one service with a cold pace of 5 a second.
+ConfigPtr TwoRegions()
+{
+  auto config = std::make_shared<Config>();
+  for (const char* region : { "east", "west" }) {
+    RegionId id(config->mRegions.size());
+    Region added{ region, {} };
+    for (const char* part : { "-a", "-b" }) {
+      added.mDataCentres.emplace_back(config->mDataCentres.size());
+      config->mDataCentres.push_back({ region + std::string(part), id, false });
+    }
+    config->mRegions.push_back(added);
+  }
+  config->mProfiles.push_back({});
+  Service service;
+  service.mName = "stock";
+  service.mProfile = ProfileId(0);
+  service.mColdPerSecond = 5;
+  config->mServices.push_back(service);
+  return config;
+}
+
+Registration ServerAt(const std::string& aId, const std::string& aDataCentre)
+{
+  Registration registration;
+  registration.mId = aId;
+  registration.mBorn = 1;
+  registration.mService = "stock";
+  registration.mDataCentre = aDataCentre;
+  registration.mAddress = { "127.0.0.1", 1 };
+  registration.mSlots = 4;
+  return registration;
+}
+
+struct Fixture
+{
+  Members mMembers{ "127.0.0.1:2", "east-a" };
+  Fleet mFleet;
+  Instant mNow = kStart;
+
+  explicit Fixture(double aMostShift = kAnyShift)
+    : mFleet("east-a", mMembers, aMostShift)
+  {
+    mFleet.SetConfig(TwoRegions());
+  }
+
+  void AddServers(const std::string& aDataCentre, int aCount)
+  {
+    for (int i = 0; i < aCount; ++i) {
+      mFleet.Register(ServerAt(fmt::format("{}-{}", aDataCentre, i), aDataCentre), mNow);
+    }
+  }
+
+  static Wish WishFor(const std::string& aObject)
+  {
+    Wish wish;
+    wish.mService = ServiceId(0);
+    wish.mObject = aObject;
+    return wish;
+  }
+
+  ServerPtr Choose(const Wish& aWish) { return mFleet.Choose(aWish, mNow).mServer; }
+};
+
+std::string IdOf(const ServerPtr& aServer)
+{
+  return aServer ? aServer->Id() : "none";
+}
+
+} // namespace
+
+TEST_CASE("requests about one object meet at one server of the own data centre")
+{
+  Fixture there;
+  there.AddServers("east-a", 3);
+  there.AddServers("west-a", 3);
+  Wish wish = Fixture::WishFor("17");
+  ServerPtr first = there.Choose(wish);
+  REQUIRE(first);
+  CHECK(first->mRegistration.mDataCentre == "east-a");
+  for (int i = 0; i < 3; ++i) {
+    CHECK(there.Choose(wish) == first);
+  }
+}
+
+TEST_CASE("all instances choose alike, whatever the order of registrations")
+{
+  Fixture one;
+  Fixture other;
+  one.AddServers("east-a", 3);
+  for (int i : { 2, 0, 1 }) {
+    other.mFleet.Register(ServerAt(fmt::format("east-a-{}", i), "east-a"), kStart);
+  }
+  for (int object = 0; object < 40; ++object) {
+    Wish wish = Fixture::WishFor(std::to_string(object));
+    CHECK(IdOf(one.Choose(wish)) == IdOf(other.Choose(wish)));
+    for (const auto& [id, server] : one.mFleet.Servers()) {
+      server->mInFlight = 0;
+    }
+    for (const auto& [id, server] : other.mFleet.Servers()) {
+      server->mInFlight = 0;
+    }
+  }
+}
+
+// Pattern: many users at once. Spilling each request to any server with room taught all
+// servers all objects, and all became slow.
+TEST_CASE("a full server's objects stay on few servers")
+{
+  Fixture there;
+  there.AddServers("east-a", 4);
+  there.AddServers("east-b", 4);
+  there.AddServers("west-a", 4);
+  Wish wish = Fixture::WishFor("17");
+  wish.mMaySpill = true;
+  std::set<std::string> used;
+  while (ServerPtr server = there.Choose(wish)) {
+    used.insert(server->Id());
+  }
+  CHECK(used.size() == 4); // two here, one in the other region, one in the region
+  CHECK(there.mFleet.Choose(wish, there.mNow).mWhy == NoChoice::Full);
+}
+
+TEST_CASE("a server that does not know the object is taken only after a wait")
+{
+  Fixture there;
+  there.AddServers("east-a", 2);
+  Wish wish = Fixture::WishFor("17");
+  while (there.Choose(wish)) {
+  }
+  wish.mMaySpill = true;
+  ServerPtr second = there.Choose(wish);
+  REQUIRE(second);
+  wish.mMaySpill = false;
+  CHECK(there.Choose(wish) == second); // it knows the object now
+}
+
+// Pattern: several instances send to one server and each sees only its own requests.
+TEST_CASE("load reports count the requests of other instances, and fade")
+{
+  Fixture there;
+  there.AddServers("east-a", 1);
+  Wish wish = Fixture::WishFor("17");
+  ServerPtr server = there.Choose(wish);
+  for (int i = 0; i < 20; ++i) {
+    there.mFleet.Report(server, { 4, 1, 4 }, there.mNow);
+  }
+  there.mFleet.Ended(server, SendResult::Answered, there.mNow);
+  CHECK_FALSE(there.Choose(wish));
+  there.mNow += 10s;
+  CHECK(there.Choose(wish) == server);
+}
+
+TEST_CASE("draining, evacuated, foreign and replaced servers get nothing")
+{
+  Fixture there;
+  there.AddServers("east-a", 1);
+  Wish wish = Fixture::WishFor("17");
+  Registration draining = ServerAt("east-a-0", "east-a");
+  draining.mDraining = true;
+  there.mFleet.Register(draining, there.mNow);
+  CHECK(there.mFleet.Choose(wish, there.mNow).mWhy == NoChoice::None);
+  there.mFleet.Register(ServerAt("east-a-0", "east-a"), there.mNow);
+  there.mFleet.SetEvacuated("east-a", true);
+  CHECK_FALSE(there.Choose(wish));
+  there.mFleet.SetEvacuated("east-a", false);
+  ServerPtr server = there.Choose(wish);
+  REQUIRE(server);
+  there.mFleet.Ended(server, SendResult::Gone, there.mNow);
+  CHECK_FALSE(there.Choose(wish));
+  Registration again = ServerAt("east-a-0", "east-a");
+  again.mBorn = 2;
+  there.mFleet.Register(again, there.mNow);
+  CHECK(there.Choose(wish));
+}
+
+TEST_CASE("homes of the route and of the organisation both bind")
+{
+  Fixture there;
+  there.AddServers("east-a", 1);
+  there.AddServers("west-a", 1);
+  Wish wish = Fixture::WishFor("17");
+  wish.mHomes = { RegionId(1) };
+  CHECK(IdOf(there.Choose(wish)) == "west-a-0");
+  wish.mMoreHomes = { RegionId(0) };
+  CHECK_FALSE(there.Choose(wish));
+}
+
+TEST_CASE("a cold server is filled at its pace, by its owner only")
+{
+  Fixture there;
+  Registration cold = ServerAt("east-a-0", "east-a");
+  cold.mColdLeft = 10s;
+  cold.mSlots = 100;
+  there.mFleet.Register(cold, there.mNow);
+  cold = ServerAt("west-a-0", "west-a");
+  cold.mColdLeft = 10s;
+  there.mFleet.Register(cold, there.mNow);
+  int sent = 0;
+  Wish wish = Fixture::WishFor("17");
+  wish.mMaySpill = true;
+  for (int i = 0; i < 500; ++i, there.mNow += 10ms) {
+    ServerPtr server = there.Choose(wish);
+    sent += server ? 1 : 0;
+    CHECK((!server || server->Id() == "east-a-0"));
+  }
+  CHECK(sent <= 5 * 5 + 5); // five seconds of the pace and its excess
+  CHECK(sent >= 10);
+}
+
+TEST_CASE("a server that fails often is used only where no other has room")
+{
+  Fixture there;
+  there.AddServers("east-a", 2);
+  Wish wish = Fixture::WishFor("17");
+  ServerPtr first = there.Choose(wish);
+  for (int i = 0; i < 5; ++i) {
+    ++first->mInFlight;
+    there.mFleet.Ended(first, SendResult::Failed, there.mNow);
+  }
+  CHECK(there.Choose(wish) != first);
+}
+
+// Pattern: at the start all servers are slow, and a third of a region's traffic left it
+// within two seconds.
+TEST_CASE("the part of the traffic that leaves a region changes slowly, both ways")
+{
+  constexpr double kMost = 0.1;
+  ShiftRamp ramp(kMost, 2s);
+  Instant now = kStart;
+  std::vector<bool> left;
+  auto step = [&](bool aWantsToLeave) {
+    bool leaves = aWantsToLeave ? ramp.MayLeave(now) : ramp.MustLeave(now);
+    if (aWantsToLeave && !leaves) {
+      ramp.Denied(now);
+    }
+    ramp.Count(leaves, now);
+    left.push_back(leaves);
+    now += 10ms;
+  };
+  for (int i = 0; i < 8000; ++i) {
+    step(i < 4000);
+  }
+  auto shareOf = [&](std::size_t aFrom) {
+    return double(std::count(left.begin() + long(aFrom), left.begin() + long(aFrom) + 200, true)) / 200;
+  };
+  for (std::size_t i = 200; i + 400 <= left.size(); ++i) {
+    CHECK(std::abs(shareOf(i + 200) - shareOf(i)) <= kMost);
+  }
+  CHECK(shareOf(3800) > 0.7);
+  CHECK(shareOf(7800) < 0.2);
+}
+
+TEST_CASE("requests of a split route are drawn by weight, each always alike")
+{
+  Route route;
+  route.mSplit = { { ServiceId(0), 90 }, { ServiceId(1), 10 } };
+  int second = 0;
+  for (std::uint64_t draw = 0; draw < 1000; ++draw) {
+    second += DrawService(route, draw) == ServiceId(1) ? 1 : 0;
+    CHECK(DrawService(route, draw) == DrawService(route, draw));
+  }
+  CHECK(second == 100);
+}
+
+TEST_CASE("returns of refused callers are spread")
+{
+  std::set<Duration> returns;
+  for (std::uint64_t draw = 0; draw < 100; ++draw) {
+    returns.insert(RetryAfter(base::Result::QueueTimeout, draw * 7919));
+  }
+  CHECK(returns.size() > 50);
+  CHECK(RetryAfter(base::Result::AnswerLost, 1) == Duration::zero());
+}
--- a/tests/unit/entry.cc
+++ b/tests/unit/entry.cc
@@ -42,7 +42,8 @@
               { "127.0.0.1:2", 7 },
               "secret" };
   Admission mAdmission{ mCore };
-  Backend mBackend{ mCore };
+  OwnFormat mFormat;
+  Backend mBackend{ mCore, mFormat };
   Pipeline mPipeline{ mCore, mAdmission, mBackend };
   LookUps mLookUps{ mCore, mPipeline };
 
--- /dev/null
+++ b/tests/unit/platform.cc
@@ -0,0 +1,257 @@
+// Tests of the adapter to the users' platform: what its documents and header fields say.
+#include <fstream>
+
+#include <doctest/doctest.h>
+
+#include "canned.h"
+#include "platform/config.h"
+#include "platform/format.h"
+#include "platform/settings.h"
+#include "platform/store.h"
+
+using namespace vanillaloft;
+using namespace std::chrono_literals;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr const char* kSettings = R"(
+[local]
+zone = "ct-a"
+ip = "10.1.0.35"
+something_new = 5
+[network]
+internal_ports = [7740, 7755]
+seeds = ["10.1.0.35:8688", "10.2.0.40:8688"]
+[network.listen]
+frontend = "10.1.0.35:8686"
+readiness = "10.1.0.35:8680"
+control_plane = "10.1.0.35:8688"
+directory = "10.1.0.35:8684"
+[network.zones]
+ct-a = "sicilia-est"
+pa-a = "sicilia-ovest"
+[platform.platform]
+address = "10.200.1.7:8682"
+[terms.bounds]
+grace_s = 6.0
+revoke_s = 5
+retry_budget_ratio = 0.2
+budget_slack = 60
+quota_window_s = 5
+quota_overage = 0.1
+quota_slack = 20
+ttl_max_s = 5
+max_shift = 0.15
+)";
+
+constexpr const char* kConfig = R"({"version":"r12",
+"services":[{"name":"stock","health_path":"/health","max_conns":360,"cold_per_s":6.4},
+            {"name":"orders","health_path":"/health"}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_s":3,
+          "idle_timeout_s":15},
+"tenants":[{"name":"shop","api_keys":["k1","k2"],"priority":1,"rate_per_s":100,
+            "burst":50,"home_regions":["sicilia-ovest"]}],
+"hosts":[{"host":"a.example","paths":[
+  {"name":"r1","prefix":"/x/","kind":"safe","timeout_s":4,"target_latency_s":0.6,
+   "priority":2,"traffic_split":[{"service":"stock","weight":90},
+   {"service":"orders","weight":10}],"attempts":2,"sticky":true,"home_regions":[]},
+  {"name":"r2","prefix":"/x/y/","kind":"unsafe","timeout_s":1.2,"service":"orders",
+   "attempts":1,"public":true}]}]})";
+
+std::string WriteSettings(const std::string& aText)
+{
+  std::string path = "/tmp/vanillaloft-unit-settings.toml";
+  std::ofstream(path) << aText;
+  return path;
+}
+
+platform::Reader MakeReader()
+{
+  return platform::Reader(platform::ReadSettings(WriteSettings(kSettings)));
+}
+
+store::Item Server(const std::string& aText)
+{
+  return { "servers/i-1", aText, 7, false };
+}
+
+net::Request CallerRequest()
+{
+  net::Request request(http::verb::get, "/x/2f?q=1", net::kHttp11);
+  request.set(http::field::host, "a.example:80");
+  request.set("Vanillaloft-Attempt-Id", "abc");
+  request.set(http::field::cookie, "one=1; Vanillaloft-Affinity-Key=17; two=2");
+  request.set("Vanillaloft-Deadline-Ms", "1200");
+  request.set("Vanillaloft-Tenant-Id", "forged");
+  request.set(http::field::authorization, "Token k1");
+  request.set(http::field::connection, "X-Hop");
+  request.set("X-Hop", "1");
+  request.set("X-Kept", "2");
+  return request;
+}
+
+net::Response ServerResponse(http::status aStatus)
+{
+  net::Response response(aStatus, net::kHttp11);
+  response.set("Vanillaloft-Attempt-Id", "abc");
+  response.set("Vanillaloft-Server-Signature", "sig");
+  response.set("Vanillaloft-Server-Load", "3,1,8");
+  response.body() = "bytes";
+  return response;
+}
+
+} // namespace
+
+TEST_CASE("settings are read, unknown fields ignored, missing ones named")
+{
+  platform::Settings settings = platform::ReadSettings(WriteSettings(kSettings));
+  CHECK(settings.mInstance.mDataCentre == "ct-a");
+  CHECK(settings.mInstance.mListen.mPort == 8686);
+  CHECK(settings.mInstance.mSeeds == "10.1.0.35:8688,10.2.0.40:8688");
+  CHECK(settings.mPlaces.size() == 2);
+  CHECK(settings.mOperators.mPort == 7740);
+  std::string without(kSettings);
+  without.erase(without.find("revoke_s = 5"), 12);
+  CHECK_THROWS_WITH_AS(platform::ReadSettings(WriteSettings(without)),
+                       doctest::Contains("revoke_s"),
+                       base::SettingError);
+  CHECK_THROWS_AS(platform::ReadSettings(WriteSettings("not = [toml")),
+                  base::SettingError);
+}
+
+TEST_CASE("a configuration becomes typed tables")
+{
+  decide::ConfigPtr config = MakeReader().ReadConfig(kConfig);
+  CHECK(config->mRevision == 12);
+  CHECK(config->mLimits.mIdleTime == 15s);
+  const decide::Route& inner =
+    config->mRoutes[config->FindRoute("a.example", "/x/y/z").At()];
+  CHECK(inner.mKind == decide::RouteKind::Order);
+  CHECK(inner.mTimeout == 1200ms);
+  CHECK_FALSE(inner.NeedsKey());
+  const decide::Route& outer =
+    config->mRoutes[config->FindRoute("a.example", "/x/2f").At()];
+  CHECK(outer.mKind == decide::RouteKind::Lookup);
+  CHECK(outer.mSplit.size() == 2);
+  CHECK(outer.mSticky);
+  CHECK(outer.NeedsKey());
+  CHECK(config->FindRoute("b.example", "/x/2f").IsNone());
+  CHECK_FALSE(config->FindKey(decide::DigestKey("k2")).IsNone());
+  const decide::Organisation& shop = config->mOrganisations[0];
+  REQUIRE(shop.mHomes.size() == 1);
+  CHECK(config->mRegions[shop.mHomes[0].At()].mName == "sicilia-ovest");
+  CHECK(config->mBudgets[shop.mBudget.At()].mTotal.mPerSecond >= 100 * decide::kToken);
+}
+
+TEST_CASE("a configuration that cannot be read is an error, not a crash")
+{
+  platform::Reader reader = MakeReader();
+  for (const char* text : { "", "{", "[]", "{\"version\":\"12\"}", "{\"version\":\"r1\"}" }) {
+    CHECK_THROWS_AS(reader.ReadConfig(text), decide::ConfigError);
+  }
+}
+
+TEST_CASE("registrations are read, foreign ones name no server")
+{
+  platform::Reader reader = MakeReader();
+  auto good = reader.Read(Server(
+    R"({"address":"10.0.0.9:80","born":5,"info":{"service":"stock","version":"v1","zone":"ct-a",
+        "slots":8},"status":{"state":"ready","seq":4,"cold_left_s":1.5}})"));
+  REQUIRE(std::holds_alternative<decide::Registration>(good));
+  CHECK(std::get<decide::Registration>(good).mColdLeft == 1500ms);
+  CHECK(std::get<decide::Registration>(good).mBorn == 5);
+  for (const char* text :
+       { "", "\xff\xfe", "{}", R"({"address":7})",
+         R"({"address":"10.0.0.9:80","info":{"service":"stock","zone":"ct-a","slots":"8"},
+             "status":{"state":"ready","cold_left_s":0}})",
+         R"({"address":"10.0.0.9:80","info":{"service":"stock","zone":"ct-a","slots":8},
+             "status":{"state":"asleep","cold_left_s":0}})" }) {
+    CHECK(std::holds_alternative<daemon::Unreadable>(reader.Read(Server(text))));
+  }
+  store::Item gone{ "servers/i-1", "", 9, true };
+  CHECK(std::get<daemon::ServerLeft>(reader.Read(gone)).mId == "i-1");
+  store::Item evacuated{ "op/evacuate/ct-a", "{}", 9, false };
+  CHECK(std::get<daemon::Evacuation>(reader.Read(evacuated)).mActive);
+}
+
+TEST_CASE("a request passes on what concerns the server, and never the key")
+{
+  platform::PlatformFormat format;
+  entry::Exchange exchange = format.FromCaller(CallerRequest());
+  CHECK(exchange.mRequestId == "abc");
+  CHECK(exchange.mHost == "a.example");
+  CHECK(exchange.mObject == "17");
+  CHECK(exchange.mCallerWaits == 1200ms);
+  CHECK(exchange.mKey == "k1");
+  exchange.mConfig = MakeReader().ReadConfig(kConfig);
+  exchange.mOrganisation = decide::OrganisationId(0);
+  net::Request sent = format.ToServer(exchange, { "i-1", 900ms, false });
+  CHECK(sent.target() == "/x/2f?q=1");
+  CHECK(sent["Vanillaloft-Expected-Instance"] == "i-1");
+  CHECK(sent["Vanillaloft-Deadline-Ms"] == "900");
+  CHECK(sent["Vanillaloft-Tenant-Id"] == "shop");
+  CHECK(sent["X-Kept"] == "2");
+  CHECK(sent.count("X-Hop") == 0);
+  CHECK(sent.count(http::field::authorization) == 0);
+}
+
+TEST_CASE("only a whole signed answer to this request is a success")
+{
+  platform::PlatformFormat format;
+  entry::ServerAnswer good = format.FromServer(ServerResponse(http::status::ok));
+  CHECK(good.mGenuine);
+  REQUIRE(good.mLoad);
+  CHECK(good.mLoad->mWaiting == 1);
+  net::Response bare = ServerResponse(http::status::ok);
+  bare.erase("Vanillaloft-Server-Signature");
+  CHECK_FALSE(format.FromServer(bare).mGenuine);
+  net::Response encoded = ServerResponse(http::status::ok);
+  encoded.set(http::field::content_encoding, "gzip");
+  CHECK_FALSE(format.FromServer(encoded).mGenuine);
+}
+
+TEST_CASE("a refusal counts as not run only if the server says so")
+{
+  platform::PlatformFormat format;
+  net::Response full = ServerResponse(http::status::service_unavailable);
+  CHECK_FALSE(format.FromServer(full).mNotRun);
+  CHECK_FALSE(format.FromServer(full).mGenuine);
+  full.set("Vanillaloft-Not-Executed", "1");
+  CHECK(format.FromServer(full).mNotRun);
+  CHECK(format.FromServer(ServerResponse(http::status::misdirected_request)).mOtherServer);
+}
+
+TEST_CASE("refusals say when to come back, and what is not known promises nothing")
+{
+  platform::PlatformFormat format;
+  decide::Outcome outcome;
+  outcome.mResult = base::Result::QueueTimeout;
+  outcome.mRetryAfter = 250ms;
+  net::Response refusal = format.ToCaller(outcome);
+  CHECK(refusal.result() == http::status::service_unavailable);
+  CHECK(refusal[http::field::retry_after] == "0.250");
+  outcome.mResult = base::Result::AnswerLost;
+  CHECK(format.ToCaller(outcome).result() == http::status::bad_gateway);
+}
+
+TEST_CASE("values of the store are decoded, a dropped history is told apart")
+{
+  boost::asio::io_context context;
+  std::string item = R"({"key":"k","value":"bm9kZS0x","revision":412,"lease":0,"current_rev":5})";
+  test::CannedServer server(context,
+                            "HTTP/1.1 200 OK\r\nContent-Length: " +
+                              std::to_string(item.size()) + "\r\n\r\n" + item);
+  platform::PlatformStore store(server.Address());
+  store::Value value = test::Finish(context, store.Read("k"));
+  CHECK(value.mVersion == 412);
+  CHECK(value.mText == "node-1");
+  test::CannedServer forgetful(context, "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n");
+  platform::PlatformStore behind(forgetful.Address());
+  CHECK_THROWS_AS(test::Finish(context, behind.Changes("op/", 3, 10ms)),
+                  store::HistoryGone);
+  test::CannedServer raced(
+    context, "HTTP/1.1 412 Precondition Failed\r\nContent-Length: 0\r\n\r\n");
+  platform::PlatformStore late(raced.Address());
+  CHECK_FALSE(test::Finish(context, late.CompareAndSwap("k", 1, "x")));
+}
