--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -74,6 +74,9 @@
   EventRow{ Event::RequestEnded,
             "request-ended",
             "A request was answered or refused; says with which result and why." },
+  EventRow{ Event::RequestBroken,
+            "request-broken",
+            "An unexpected error ended a request; the text says which." },
 };
 
 } // namespace
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -37,6 +37,7 @@
   RunbookWaits = 6002,
   RunbookEnded = 6003,
   RequestEnded = 7001,
+  RequestBroken = 7002,
 };
 
 // One row of the event catalogue.
--- a/src/decide/ramp.cc
+++ b/src/decide/ramp.cc
@@ -1,6 +1,7 @@
 #include "decide/ramp.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace vanillaloft::decide {
 
@@ -8,29 +9,41 @@
 
 using Seconds = std::chrono::duration<double>;
 
-// Part of the allowed change that single requests use at once.
+// Parts of the allowed change: what leaves without a limit, what may leave in one burst,
+// and what the share moves within a window. Their sum, as means over a window in which
+// the share moves evenly, keeps to the whole.
 constexpr double kFreePart = 0.25;
+constexpr double kBurstPart = 0.4;
+constexpr double kMovePart = 0.66;
 // The share grows while requests were denied within this time, and shrinks otherwise.
 constexpr base::Duration kDenialLife = std::chrono::milliseconds(200);
-// Credit is kept for this many requests at most, either way.
-constexpr double kMostCredit = 2;
+// Requests that stayed where they should have left, before one has to leave.
+constexpr double kMostStays = 2;
 
 } // namespace
 
 ShiftRamp::ShiftRamp(double aMostChange, base::Duration aWindow)
-  : mFreeShare(aMostChange * kFreePart)
-  , mSpeed(aMostChange * (1 - kFreePart) / Seconds(aWindow).count())
-  , mShare(mFreeShare)
+  : mMostChange(aMostChange)
+  , mWindow(aWindow)
+  , mShare(aMostChange * kFreePart)
 {
 }
 
+double ShiftRamp::MostCredit() const
+{
+  return std::max(1.0, mMostChange * kBurstPart * mRecent);
+}
+
 void ShiftRamp::Move(base::Instant aNow)
 {
-  Seconds passed = std::min(aNow - mMovedAt, kDenialLife);
+  Seconds passed = aNow - mMovedAt;
   mMovedAt = aNow;
+  mRecent *= std::exp(-passed / Seconds(mWindow));
   bool wanted = mDeniedAt != base::Instant() && aNow - mDeniedAt < kDenialLife;
-  double change = mSpeed * passed.count() * (wanted ? 1 : -1);
-  mShare = std::clamp(mShare + change, mFreeShare, 1.0);
+  double speed = mMostChange * kMovePart / Seconds(mWindow).count();
+  double change = speed * std::min(passed, Seconds(kDenialLife)).count();
+  mShare = std::clamp(
+    mShare + (wanted ? change : -change), mMostChange * kFreePart, 1.0);
 }
 
 bool ShiftRamp::MayLeave(base::Instant aNow)
@@ -42,13 +55,14 @@
 bool ShiftRamp::MustLeave(base::Instant aNow)
 {
   Move(aNow);
-  return mShare > mFreeShare && mCredit + mShare - mFreeShare >= kMostCredit;
+  return mShare > mMostChange * kFreePart && mCredit + mShare >= kMostStays;
 }
 
 void ShiftRamp::Count(bool aLeft, base::Instant aNow)
 {
   Move(aNow);
-  mCredit = std::clamp(mCredit + mShare - (aLeft ? 1 : 0), -kMostCredit, kMostCredit);
+  ++mRecent;
+  mCredit = std::min(mCredit + mShare - (aLeft ? 1 : 0), MostCredit());
 }
 
 } // namespace vanillaloft::decide
--- a/src/decide/ramp.h
+++ b/src/decide/ramp.h
@@ -29,10 +29,13 @@
 private:
   void Move(base::Instant aNow);
 
-  double mFreeShare;       // moves without a limit
-  double mSpeed;           // change of the share in a second
+  double MostCredit() const;
+
+  double mMostChange;
+  base::Duration mWindow;
   double mShare;           // that may leave now
   double mCredit = 0;      // requests that may leave, by the share of those sent
+  double mRecent = 0;      // requests sent, smoothed over a window
   base::Instant mMovedAt{};
   base::Instant mDeniedAt{};
 };
--- a/src/entry/direct.cc
+++ b/src/entry/direct.cc
@@ -13,10 +13,13 @@
 
 namespace {
 
-// A request waits for room at most this part of its latency target, so that a refused
-// caller still has time for another try.
-constexpr int kWaitPart = 8;
-constexpr Duration kWaitWithoutTarget = std::chrono::milliseconds(50);
+// A request waits for a server that knows its object for this part of its latency target.
+constexpr double kWaitPart = 0.125;
+// Where there are few that wait, it waits for any server for this part in all; more would
+// only be refused later.
+constexpr double kLongWaitPart = 0.125;
+constexpr std::size_t kMostWaiting = 6; // for one service
+constexpr Duration kDefaultTarget = std::chrono::milliseconds(400);
 // Room also comes with time: pauses end and cold servers take more.
 constexpr Duration kLookAgain = std::chrono::milliseconds(25);
 constexpr unsigned kMostNotConnected = 3;
@@ -26,6 +29,15 @@
   return aExchange.RouteInForce().mKind != decide::RouteKind::Order;
 }
 
+// When a request has waited for a part of its latency target.
+Instant WaitEnd(const Exchange& aExchange, double aPart)
+{
+  Duration target = aExchange.RouteInForce().mLatencyTarget;
+  target = target > Duration::zero() ? target : kDefaultTarget;
+  Instant end = aExchange.mArrival + std::chrono::duration_cast<Duration>(target * aPart);
+  return std::min(end, aExchange.mDeadline);
+}
+
 unsigned PriorityOf(const Exchange& aExchange)
 {
   unsigned own = aExchange.RouteInForce().mPriority;
@@ -119,12 +131,11 @@
 Awaitable<decide::ServerPtr> DirectPlacement::Pick(Exchange& aExchange,
                                                    const Tries& aTries)
 {
-  Duration target = aExchange.RouteInForce().mLatencyTarget;
-  Duration wait = target > Duration::zero() ? target / kWaitPart : kWaitWithoutTarget;
-  Instant until = std::min(mCore.Now() + wait, aExchange.mDeadline);
+  Instant spillAt = WaitEnd(aExchange, kWaitPart);
+  Instant until = WaitEnd(aExchange, kLongWaitPart);
   decide::Wish wish = WishOf(aExchange, aTries);
   for (;;) {
-    wish.mMaySpill = mCore.Now() >= until;
+    wish.mMaySpill = mCore.Now() >= spillAt;
     decide::Choice choice = mCore.mFleet.Choose(wish, mCore.Now());
     if (choice.mServer) {
       co_return choice.mServer;
@@ -132,7 +143,8 @@
     if (choice.mWhy == decide::NoChoice::None) {
       throw RequestError(Result::NoBackendServer);
     }
-    if (wish.mMaySpill || aExchange.CallerGone()) {
+    bool crowded = mWaiters[aExchange.ServiceName()].size() >= kMostWaiting;
+    if (aExchange.CallerGone() || mCore.Now() >= until || (wish.mMaySpill && crowded)) {
       throw RequestError(Result::QueueTimeout);
     }
     co_await WaitForRoom(aExchange, until);
--- a/src/entry/session.cc
+++ b/src/entry/session.cc
@@ -199,7 +199,16 @@
   auto link = std::make_shared<CallerLink>();
   link->mAddress = remote.is_v4() ? remote.to_v4().to_uint() : 0;
   WatchForClosing(aStream.socket(), link);
-  net::Response response = co_await aHandler(std::move(aRequest), *link);
+  net::Response response;
+  try {
+    response = co_await aHandler(std::move(aRequest), *link);
+  } catch (const std::exception& failure) {
+    // Nothing is known about what became of the request, so nothing is promised.
+    base::Log(spdlog::level::err, base::Event::RequestBroken, "cause={}", failure.what());
+    decide::Outcome outcome;
+    outcome.mResult = Result::AnswerLost;
+    response = mFormat.ToCaller(std::move(outcome));
+  }
   aStream.socket().cancel(error);
   co_return response;
 }
--- a/src/net/http.cc
+++ b/src/net/http.cc
@@ -57,7 +57,8 @@
   mStream.expires_after(aTimeout);
   co_await mStream.async_connect(to, asio::redirect_error(asio::use_awaitable, error));
   ThrowIf(error, Stage::Connect);
-  mStream.socket().set_option(asio::ip::tcp::no_delay(true));
+  mStream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+  ThrowIf(error, Stage::Connect);
   LimitSilence(mStream.socket());
   mKeepsAlive = true;
 }
