--- a/src/decide/fleet.cc
+++ b/src/decide/fleet.cc
@@ -261,11 +261,7 @@
   if (near && (near->mReach == Reach::Own || near < far)) {
     return mRamp.MustLeave(aNow) ? far : near;
   }
-  if (mRamp.MayLeave(aNow)) {
-    return far;
-  }
-  mRamp.Denied(aNow);
-  return near;
+  return mRamp.MayLeave(aNow) ? far : near;
 }
 
 Choice Fleet::Choose(const Wish& aWish, Instant aNow)
