A server that leaves after an outage of the store is not taken for lapsed

Now only what goes within a second of the outage's end is kept, and until 1.7 s behind that end. Also: format and linter for platform/, a check that its names stay there, logs on standard output on the platform.

--- a/Makefile
+++ b/Makefile
@@ -60,4 +60,4 @@
 
 
 tidy: build
-	@git ls-files 'src/*.cc' | grep -v /gen/ | xargs -P 8 -n 1 clang-tidy -p $(BUILD) --quiet
+	@git ls-files 'src/*.cc' 'platform/*.cc' | grep -v /gen/ | xargs -P 8 -n 1 clang-tidy -p $(BUILD) --quiet
--- a/src/daemon/follow.cc
+++ b/src/daemon/follow.cc
@@ -22,10 +22,6 @@
 constexpr Duration kConfirmAfter = std::chrono::milliseconds(1200);
 constexpr int kConfirmLook = 300;   // milliseconds between two looks
 constexpr int kConfirmSpread = 300; // milliseconds by which instances differ
-// A registration that lapsed during an outage is back within two seconds of its end if the
-// server lives; the end is noticed a little later. Outages count as recent for longer.
-constexpr Duration kReturnTime = std::chrono::milliseconds(1700);
-constexpr Duration kRecentOutage = std::chrono::seconds(3);
 
 } // namespace
 
@@ -153,28 +149,32 @@
   mCore.mFleet.Register(aRegistration, mCore.Now());
 }
 
+// The end of the last outage; an outage that was not yet noticed to be over ends now.
+std::optional<Instant> Follower::OutageEnd() const
+{
+  if (!mCore.mStoreAvailable) {
+    return mCore.Now();
+  }
+  return mOutages > 0 ? std::optional<Instant>(mStoreBackAt) : std::nullopt;
+}
+
 void Follower::Take(const ServerLeft& aLeft)
 {
-  bool recentOutage =
-    !mCore.mStoreAvailable ||
-    (mOutages > 0 && mCore.Now() - mStoreBackAt < kRecentOutage);
-  if (recentOutage && mCore.mFleet.Servers().contains(aLeft.mId)) {
-    asio::co_spawn(mCore.mContext, RemoveLater(aLeft.mId), asio::detached);
+  Duration kept = decide::KeepLapsed(OutageEnd(), mCore.Now());
+  if (kept > Duration::zero() && mCore.mFleet.Servers().contains(aLeft.mId)) {
+    asio::co_spawn(mCore.mContext, RemoveLater(aLeft.mId, kept), asio::detached);
     return;
   }
-  Log(spdlog::level::info,
-      Event::BackendServerState,
-      "server={} state=gone",
-      aLeft.mId);
+  Log(spdlog::level::info, Event::BackendServerState, "server={} state=gone", aLeft.mId);
   mCore.mFleet.Deregister(aLeft.mId);
 }
 
 // The server may only have been unable to renew its registration.
-Awaitable<void> Follower::RemoveLater(std::string aId)
+Awaitable<void> Follower::RemoveLater(std::string aId, Duration aKept)
 {
   decide::ServerPtr server = mCore.mFleet.Servers().at(aId);
   server->mLapsed = true;
-  co_await Sleep(kReturnTime);
+  co_await Sleep(aKept);
   auto found = mCore.mFleet.Servers().find(aId);
   if (found != mCore.mFleet.Servers().end() && found->second == server &&
       server->mLapsed) {
--- a/src/daemon/follow.h
+++ b/src/daemon/follow.h
@@ -2,6 +2,7 @@
 // platform's store.
 #pragma once
 
+#include <optional>
 #include <random>
 #include <string>
 #include <variant>
@@ -74,7 +75,7 @@
   Awaitable<void> Step(Position& aPosition);
   Awaitable<void> ConfirmConfig();
   Awaitable<void> ConfirmOnce();
-  Awaitable<void> RemoveLater(std::string aId);
+  Awaitable<void> RemoveLater(std::string aId, Duration aKept);
   Awaitable<void> Sleep(Duration aTime);
   void Apply(const store::Item& aItem);
   void Take(const decide::ConfigPtr& aConfig);
@@ -84,6 +85,7 @@
   void Take(const Unreadable& aUnreadable);
   void DropMissing(const Position& aPosition, const store::Items& aListed);
   void NoteStore(bool aAvailable);
+  std::optional<Instant> OutageEnd() const;
 
   entry::Core& mCore;
   store::Store& mStore;
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -83,6 +83,8 @@
   std::signal(SIGPIPE, SIG_IGN);
   try {
     if (auto path = platform::SettingsPath()) {
+      spdlog::set_default_logger(
+        spdlog::stdout_logger_mt("vanillaloftd on the platform"));
       platform::Run(*path);
       return kExitOk;
     }
--- a/src/decide/config.h
+++ b/src/decide/config.h
@@ -109,13 +109,13 @@
   ServiceId mService; // the first one of a split
   std::string mHost;  // empty: any host
   std::vector<SplitPart> mSplit;
-  bool mPublic = false;       // served without a key
-  bool mAnyMethod = false;    // otherwise the kind tells which methods are accepted
-  bool mSticky = false;       // servers answer faster about objects that they know
-  Duration mTimeout{};        // from arrival to the final answer; zero: the profile's
-  Duration mLatencyTarget{};  // zero: none
-  unsigned mPriority = 0;     // 0 first
-  unsigned mMostServers = 0;  // backend servers tried at most; zero: the profile's
+  bool mPublic = false;         // served without a key
+  bool mAnyMethod = false;      // otherwise the kind tells which methods are accepted
+  bool mSticky = false;         // servers answer faster about objects that they know
+  Duration mTimeout{};          // from arrival to the final answer; zero: the profile's
+  Duration mLatencyTarget{};    // zero: none
+  unsigned mPriority = 0;       // 0 first
+  unsigned mMostServers = 0;    // backend servers tried at most; zero: the profile's
   std::vector<RegionId> mHomes; // empty: everywhere
 
   bool NeedsKey() const { return !mPublic && mKind != RouteKind::Open; }
@@ -125,8 +125,8 @@
 {
   std::string mName;
   ProfileId mProfile;
-  std::string mProbePath;     // asked for a server's health
-  double mColdPerSecond = 0;  // requests that a cold server takes; zero: any number
+  std::string mProbePath;    // asked for a server's health
+  double mColdPerSecond = 0; // requests that a cold server takes; zero: any number
 };
 
 struct BackendServer
--- a/src/decide/fleet.cc
+++ b/src/decide/fleet.cc
@@ -37,6 +37,10 @@
 // themselves for its owner for a moment, which together stay under the pace's excess.
 constexpr double kColdPart = 0.7;
 constexpr double kColdBurst = 2;
+// Behind the end of an outage: until when registrations are taken for lapsed, and until
+// when their servers are used. The end is noticed a little late, so both are short.
+constexpr Duration kLapsesUntil = std::chrono::seconds(1);
+constexpr Duration kReturnTime = std::chrono::milliseconds(1700);
 // Room for a part of a request, since the load of other instances is an estimate.
 constexpr double kOverfill = 0.2;
 
@@ -67,6 +71,14 @@
   return std::max(0.0, mean + excess * std::exp2(-(age / kReportHalfLife)));
 }
 
+Duration KeepLapsed(std::optional<Instant> aOutageEnd, Instant aNow)
+{
+  if (!aOutageEnd || aNow - *aOutageEnd >= kLapsesUntil) {
+    return Duration::zero();
+  }
+  return *aOutageEnd + kReturnTime - aNow;
+}
+
 void Fleet::SetConfig(ConfigPtr aConfig)
 {
   mConfig = std::move(aConfig);
@@ -146,9 +158,9 @@
   if (aServer.mDataCentre == mOwn) {
     return Reach::Own;
   }
-  bool sameRegion = !mOwn.IsNone() &&
-                    mConfig->mDataCentres[aServer.mDataCentre.At()].mRegion ==
-                      mConfig->mDataCentres[mOwn.At()].mRegion;
+  bool sameRegion =
+    !mOwn.IsNone() && mConfig->mDataCentres[aServer.mDataCentre.At()].mRegion ==
+                        mConfig->mDataCentres[mOwn.At()].mRegion;
   return sameRegion ? Reach::OwnRegion : Reach::Elsewhere;
 }
 
@@ -161,7 +173,8 @@
   for (const auto& [id, server] : mServers) {
     if (MayServe(*server, aWish)) {
       bool doubtful = server->mFaultShare > kDoubtful;
-      ranked.push_back({ ReachOf(*server), doubtful, HashOf(aWish.mObject, id), &server });
+      ranked.push_back(
+        { ReachOf(*server), doubtful, HashOf(aWish.mObject, id), &server });
     }
   }
   std::ranges::sort(ranked, [](const Ranked& aLeft, const Ranked& aRight) {
@@ -175,8 +188,9 @@
     auto reach = static_cast<std::size_t>(aCandidate.mReach);
     return ++taken.at(reach) > kMostByReach.at(reach);
   });
-  std::ranges::stable_partition(
-    ranked, [](const Ranked& aCandidate) { return !aCandidate.mDoubtful; });
+  std::stable_partition(ranked.begin(), ranked.end(), [](const Ranked& aCandidate) {
+    return !aCandidate.mDoubtful;
+  });
   return ranked;
 }
 
@@ -199,8 +213,8 @@
   if (!Paces(aServer, aNow)) {
     return true;
   }
-  bool owner = aServer.mDataCentre == mOwn &&
-               mMembers.OwnsBackendServer(aServer.Id(), false, aNow);
+  bool owner =
+    aServer.mDataCentre == mOwn && mMembers.OwnsBackendServer(aServer.Id(), false, aNow);
   if (!owner) {
     return false;
   }
@@ -225,9 +239,8 @@
 void Fleet::Learn(Server& aServer, std::uint64_t aObject, Instant aNow)
 {
   if (aServer.mKnows.size() >= kMostKnown) {
-    std::erase_if(aServer.mKnows, [&](const auto& aEntry) {
-      return aNow - aEntry.second >= kKnownFor;
-    });
+    std::erase_if(aServer.mKnows,
+                  [&](const auto& aEntry) { return aNow - aEntry.second >= kKnownFor; });
   }
   aServer.mKnows[aObject] = aNow;
 }
--- a/src/decide/fleet.h
+++ b/src/decide/fleet.h
@@ -50,11 +50,11 @@
 enum class SendResult : std::uint8_t
 {
   Answered,
-  Failed,  // answered with a failure of its own
-  Full,    // rejected because it has no room
-  Gone,    // another server has the address
-  Refused, // no connection could be made
-  Lost,    // no whole answer came
+  Failed,    // answered with a failure of its own
+  Full,      // rejected because it has no room
+  Gone,      // another server has the address
+  Refused,   // no connection could be made
+  Lost,      // no whole answer came
   Cancelled, // given up by this side for no fault of the server
 };
 
@@ -88,7 +88,7 @@
 struct Wish
 {
   ServiceId mService;
-  std::string mObject; // empty: any server is as good as another
+  std::string mObject;          // empty: any server is as good as another
   std::vector<RegionId> mHomes; // both lists bind if they are not empty
   std::vector<RegionId> mMoreHomes;
   std::vector<const Server*> mTried;
@@ -186,4 +186,9 @@
 // says no more than the mean of the reports, and that fades when none come.
 double OthersNow(const Server& aServer, Instant aNow);
 
+// How long a server whose registration has gone is still used. One that lapsed during an
+// outage of the store is back within two seconds of its end if the server lives; one that
+// goes later has left.
+Duration KeepLapsed(std::optional<Instant> aOutageEnd, Instant aNow);
+
 } // namespace vanillaloft::decide
--- a/src/decide/parse.cc
+++ b/src/decide/parse.cc
@@ -218,9 +218,8 @@
 
   RegionId RegionAt(const Node& aNode, const char* aField)
   {
-    return aNode.Reference(aField, [this](const std::string& aName) {
-      return mConfig->FindRegion(aName);
-    });
+    return aNode.Reference(
+      aField, [this](const std::string& aName) { return mConfig->FindRegion(aName); });
   }
 
   void ReadLink(const Node& aNode)
--- a/src/entry/direct.cc
+++ b/src/entry/direct.cc
@@ -108,7 +108,7 @@
 {
   asio::steady_timer timer(mCore.mContext, std::min(aUntil - mCore.Now(), kLookAgain));
   Waiter waiter{ PriorityOf(aExchange), mNextWaiter++, &timer };
-  std::string service = aExchange.ServiceName();
+  const std::string& service = aExchange.ServiceName();
   mWaiters[service].insert(waiter);
   boost::system::error_code woken;
   co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, woken));
@@ -163,8 +163,8 @@
   ServerAnswer answer;
   std::optional<RequestError> failure;
   try {
-    answer = co_await mBackend.Call(
-      aExchange, target, Reuse::Allowed, !IsIdempotent(aExchange));
+    answer =
+      co_await mBackend.Call(aExchange, target, Reuse::Allowed, !IsIdempotent(aExchange));
   } catch (const RequestError& error) {
     failure = error;
   }
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -16,9 +16,9 @@
 // The connection that a request came on, for as long as the request is served.
 struct CallerLink
 {
-  std::uint32_t mAddress = 0;     // IPv4, host byte order; 0 for others
-  bool mGone = false;             // the caller has closed it
-  std::function<void()> mOnGone;  // called once when the caller closes it
+  std::uint32_t mAddress = 0;    // IPv4, host byte order; 0 for others
+  bool mGone = false;            // the caller has closed it
+  std::function<void()> mOnGone; // called once when the caller closes it
 };
 
 // Carries no key beyond the pipeline's first filter.
@@ -30,13 +30,14 @@
   std::string mTarget;
   std::string mContentType;
   std::string mBody;
-  std::vector<decide::HeaderField> mFields; // passed on to the backend server as they came
+  std::vector<decide::HeaderField>
+    mFields;           // passed on to the backend server as they came
   std::string mObject; // what the request is about; empty if it was not said
   std::string mTicket; // as presented, if any
   std::string mKey;    // as presented; never sent on, never logged
   bool mHasKey = false;
   Duration mCallerWaits = Duration::max(); // as the caller said
-  decide::ConfigPtr mConfig; // in which the indexes below are valid
+  decide::ConfigPtr mConfig;               // in which the indexes below are valid
   decide::RouteId mRoute;
   decide::ServiceId mService;
   decide::OrganisationId mOrganisation;
@@ -47,7 +48,10 @@
   std::string mSends;            // each send and how it ended, for the log
 
   const decide::Route& RouteInForce() const { return mConfig->mRoutes[mRoute.At()]; }
-  const std::string& ServiceName() const { return mConfig->mServices[mService.At()].mName; }
+  const std::string& ServiceName() const
+  {
+    return mConfig->mServices[mService.At()].mName;
+  }
   std::string OrganisationOr(const char* aOtherwise) const
   {
     return mOrganisation.IsNone() ? aOtherwise
--- a/src/entry/format.cc
+++ b/src/entry/format.cc
@@ -69,8 +69,7 @@
   return response;
 }
 
-net::Request OwnFormat::ToServer(const Exchange& aExchange,
-                                 const Sending& aSending) const
+net::Request OwnFormat::ToServer(const Exchange& aExchange, const Sending& aSending) const
 {
   net::Request request(
     http::string_to_verb(aExchange.mMethod), aExchange.mTarget, net::kHttp11);
--- a/src/entry/format.h
+++ b/src/entry/format.h
@@ -28,8 +28,8 @@
   bool mNotRun = false;      // the server says that it did not run the request
   bool mOtherServer = false; // the address belongs to another server
   bool mDraining = false;
-  bool mGenuine = true;      // false: not what the service made
-  bool mFailure = false;     // the service failed
+  bool mGenuine = true;  // false: not what the service made
+  bool mFailure = false; // the service failed
   std::optional<decide::LoadReport> mLoad;
   std::optional<Duration> mColdLeft;
 };
--- a/src/entry/pipeline.cc
+++ b/src/entry/pipeline.cc
@@ -94,18 +94,19 @@
                           : aExchange.mConfig->mServices[aExchange.mService.At()].mName;
   Duration took = mCore.Now() - aExchange.mArrival;
   mCore.mMetrics.CountRequest(service, aOutcome.mResult, took);
-  base::Log(spdlog::level::info,
-            base::Event::RequestEnded,
-            "request={} service={} organisation={} object={} result={} status={} took_ms={} "
-            "sends={}",
-            aExchange.mRequestId,
-            service,
-            aExchange.OrganisationOr("-"),
-            aExchange.mObject,
-            base::Row(aOutcome.mResult).mName,
-            aOutcome.mStatus,
-            std::chrono::duration_cast<std::chrono::milliseconds>(took).count(),
-            aExchange.mSends);
+  base::Log(
+    spdlog::level::info,
+    base::Event::RequestEnded,
+    "request={} service={} organisation={} object={} result={} status={} took_ms={} "
+    "sends={}",
+    aExchange.mRequestId,
+    service,
+    aExchange.OrganisationOr("-"),
+    aExchange.mObject,
+    base::Row(aOutcome.mResult).mName,
+    aOutcome.mStatus,
+    std::chrono::duration_cast<std::chrono::milliseconds>(took).count(),
+    aExchange.mSends);
 }
 
 decide::OrganisationId Pipeline::Identify(const std::string& aKey) const
@@ -176,9 +177,9 @@
   const decide::Profile& profile = aExchange.mConfig->ProfileOf(aExchange.mService);
   Duration timeout = aExchange.RouteInForce().mTimeout;
   timeout = timeout > Duration::zero() ? timeout : profile.mDeadline;
-  aExchange.mDeadline =
-    aExchange.mArrival + std::min(timeout, aExchange.mCallerWaits);
-  mCore.mRetries.Earn(aExchange.ServiceName(), profile.mRetryPercent, mCore.RetryReserve());
+  aExchange.mDeadline = aExchange.mArrival + std::min(timeout, aExchange.mCallerWaits);
+  mCore.mRetries.Earn(
+    aExchange.ServiceName(), profile.mRetryPercent, mCore.RetryReserve());
   co_return;
 }
 
@@ -283,7 +284,8 @@
     try {
       co_return co_await Deliver(aExchange, aOrder);
     } catch (const RequestError& error) {
-      if (left == 0 || !MayRetry(error, aOrder) || !mCore.mRetries.Spend(aExchange.ServiceName())) {
+      if (left == 0 || !MayRetry(error, aOrder) ||
+          !mCore.mRetries.Spend(aExchange.ServiceName())) {
         throw;
       }
       --left;
--- a/src/entry/session.cc
+++ b/src/entry/session.cc
@@ -98,19 +98,21 @@
 
 // Watches for the caller's closing while its request is served. Bytes of a next request
 // end the watch, since what comes behind them cannot be seen.
-void WatchForClosing(asio::ip::tcp::socket& aSocket, const std::shared_ptr<CallerLink>& aLink)
+void WatchForClosing(asio::ip::tcp::socket& aSocket,
+                     const std::shared_ptr<CallerLink>& aLink)
 {
   std::weak_ptr<CallerLink> watched = aLink;
-  aSocket.async_wait(asio::socket_base::wait_read, [&aSocket, watched](const Error& aEnded) {
-    std::shared_ptr<CallerLink> link = watched.lock();
-    if (aEnded || !link || !HasClosed(aSocket)) {
-      return;
-    }
-    link->mGone = true;
-    if (link->mOnGone) {
-      link->mOnGone();
-    }
-  });
+  aSocket.async_wait(asio::socket_base::wait_read,
+                     [&aSocket, watched](const Error& aEnded) {
+                       std::shared_ptr<CallerLink> link = watched.lock();
+                       if (aEnded || !link || !HasClosed(aSocket)) {
+                         return;
+                       }
+                       link->mGone = true;
+                       if (link->mOnGone) {
+                         link->mOnGone();
+                       }
+                     });
 }
 
 } // namespace
--- a/src/entry/session.h
+++ b/src/entry/session.h
@@ -18,7 +18,8 @@
 constexpr std::size_t kLargestHead = 16UL * 1024;   // bytes
 constexpr std::size_t kLargestBody = 1024UL * 1024; // bytes
 
-// Answers the requests of one listening address. The link lives until the answer is there.
+// Answers the requests of one listening address. The link lives until the answer is
+// there.
 using Handler = std::function<Awaitable<net::Response>(net::Request, CallerLink&)>;
 
 // Reads requests, has them handled and writes the answers.
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -55,7 +55,8 @@
                                          std::uint64_t aVersion,
                                          std::string aText) = 0;
   virtual Awaitable<std::vector<ListedInstance>> Instances() = 0;
-  // Lists this instance for kAnnounceLife, on platforms that do not list it by themselves.
+  // Lists this instance for kAnnounceLife, on platforms that do not list it by
+  // themselves.
   virtual Awaitable<void> Announce(ListedInstance aSelf) = 0;
 };
 
--- a/tests/unit/decide_fleet.cc
+++ b/tests/unit/decide_fleet.cc
@@ -261,7 +261,9 @@
     step(i < 4000);
   }
   auto shareOf = [&](std::size_t aFrom) {
-    return double(std::count(left.begin() + long(aFrom), left.begin() + long(aFrom) + 200, true)) / 200;
+    return double(std::count(
+             left.begin() + long(aFrom), left.begin() + long(aFrom) + 200, true)) /
+           200;
   };
   for (std::size_t i = 200; i + 400 <= left.size(); ++i) {
     CHECK(std::abs(shareOf(i + 200) - shareOf(i)) <= kMost);
@@ -291,3 +293,13 @@
   CHECK(returns.size() > 50);
   CHECK(RetryAfter(base::Result::AnswerLost, 1) == Duration::zero());
 }
+
+// A server that left 1.3 s after the store was back was used for two seconds more.
+TEST_CASE("only registrations that lapsed with the store are kept for a while")
+{
+  CHECK(KeepLapsed(std::nullopt, kStart) == Duration::zero());
+  CHECK(KeepLapsed(kStart, kStart) <= 2s);
+  CHECK(KeepLapsed(kStart, kStart) >= 1s);
+  CHECK(KeepLapsed(kStart, kStart + 500ms) <= 1500ms);
+  CHECK(KeepLapsed(kStart, kStart + 1300ms) == Duration::zero());
+}
--- a/tests/unit/platform.cc
+++ b/tests/unit/platform.cc
@@ -147,7 +147,8 @@
 TEST_CASE("a configuration that cannot be read is an error, not a crash")
 {
   platform::Reader reader = MakeReader();
-  for (const char* text : { "", "{", "[]", "{\"version\":\"12\"}", "{\"version\":\"r1\"}" }) {
+  for (const char* text :
+       { "", "{", "[]", "{\"version\":\"12\"}", "{\"version\":\"r1\"}" }) {
     CHECK_THROWS_AS(reader.ReadConfig(text), decide::ConfigError);
   }
 }
@@ -162,7 +163,10 @@
   CHECK(std::get<decide::Registration>(good).mColdLeft == 1500ms);
   CHECK(std::get<decide::Registration>(good).mBorn == 5);
   for (const char* text :
-       { "", "\xff\xfe", "{}", R"({"address":7})",
+       { "",
+         "\xff\xfe",
+         "{}",
+         R"({"address":7})",
          R"({"address":"10.0.0.9:80","info":{"service":"stock","zone":"ct-a","slots":"8"},
              "status":{"state":"ready","cold_left_s":0}})",
          R"({"address":"10.0.0.9:80","info":{"service":"stock","zone":"ct-a","slots":8},
@@ -219,7 +223,8 @@
   CHECK_FALSE(format.FromServer(full).mGenuine);
   full.set("Vanillaloft-Not-Executed", "1");
   CHECK(format.FromServer(full).mNotRun);
-  CHECK(format.FromServer(ServerResponse(http::status::misdirected_request)).mOtherServer);
+  CHECK(
+    format.FromServer(ServerResponse(http::status::misdirected_request)).mOtherServer);
 }
 
 TEST_CASE("refusals say when to come back, and what is not known promises nothing")
@@ -238,7 +243,8 @@
 TEST_CASE("values of the store are decoded, a dropped history is told apart")
 {
   boost::asio::io_context context;
-  std::string item = R"({"key":"k","value":"bm9kZS0x","revision":412,"lease":0,"current_rev":5})";
+  std::string item =
+    R"({"key":"k","value":"bm9kZS0x","revision":412,"lease":0,"current_rev":5})";
   test::CannedServer server(context,
                             "HTTP/1.1 200 OK\r\nContent-Length: " +
                               std::to_string(item.size()) + "\r\n\r\n" + item);
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -48,6 +48,7 @@
 
 echo "== format"
 check format make --no-print-directory check-format
+check names tools/names.sh
 echo "== unit tests"
 for program in "$BUILD"/tests/unit-*; do
   check "$(basename "$program")" "$program"
