--- a/src/daemon/loops.cc
+++ b/src/daemon/loops.cc
@@ -265,7 +265,7 @@
         bool done = co_await RenewOnce();
         bool member =
           mCore.mShares.OtherHolderAlive(mCore.Now()) && !mCore.mShares.IsHolder();
-        Duration regular = member ? kMemberRead : decide::kRenewInterval;
+        Duration regular = member ? kMemberRead : mCore.mSettings.mRenewInterval;
         pause = done ? regular : kConflictPause;
       } catch (const std::exception& error) {
         spdlog::debug("shares not renewed: {}", error.what());
--- a/src/decide/share.h
+++ b/src/decide/share.h
@@ -32,7 +32,7 @@
 // A new instance takes nothing for this long, so that holders that are alive and reach
 // the store have repaired it in case it came back empty or older.
 constexpr Duration kNewcomerWait = std::chrono::seconds(3);
-constexpr Duration kRenewInterval = std::chrono::milliseconds(3500);
+constexpr Duration kRenewInterval = std::chrono::seconds(2);
 // Clocks may run fast or slow by this much.
 constexpr int kDriftPerMille = 10;
 // Longest time from a token's debit at its holder to its use at another instance.
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -68,6 +68,7 @@
   // A stopping instance takes new requests for at most this long; zero: until callers'
   // cached answers have expired.
   Duration mStopServes{};
+  Duration mRenewInterval = decide::kRenewInterval; // of shares
   Duration mBeatInterval = decide::kBeatInterval;
   Duration mMemberTimeout = decide::kMemberTimeout;
   Duration mConfirmationLife = kConfirmationLife;
