--- a/src/daemon/follow.cc
+++ b/src/daemon/follow.cc
@@ -2,8 +2,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 namespace vanillaloft::daemon {
 
@@ -33,27 +31,6 @@
   asio::co_spawn(mCore.mContext, ConfirmConfig(), asio::detached);
 }
 
-Awaitable<void> Follower::Sleep(Duration aTime)
-{
-  asio::steady_timer timer(mCore.mContext, aTime);
-  co_await timer.async_wait(asio::use_awaitable);
-}
-
-void Follower::NoteStore(bool aAvailable)
-{
-  if (aAvailable == mCore.mStoreAvailable) {
-    return;
-  }
-  mCore.mStoreAvailable = aAvailable;
-  Event event = aAvailable ? Event::StoreAvailable : Event::StoreUnavailable;
-  Log(spdlog::level::warn, event, "");
-  if (aAvailable) {
-    mStoreBackAt = mCore.Now();
-  } else {
-    ++mOutages;
-  }
-}
-
 Awaitable<void> Follower::Follow(std::string aPrefix)
 {
   Position position{ std::move(aPrefix), 0, false };
@@ -61,15 +38,15 @@
     Duration pause = kGather;
     try {
       co_await Step(position);
-      NoteStore(true);
+      mCore.NoteStore(true);
     } catch (const store::HistoryGone&) {
       position.mListed = false;
       pause = Duration::zero();
     } catch (const store::StoreError& error) {
-      spdlog::info("following {} failed: {}", position.mPrefix, error.what());
+      spdlog::debug("following {} failed: {}", position.mPrefix, error.what());
       pause = kRetry;
     }
-    co_await Sleep(pause);
+    co_await mCore.Sleep(pause);
   }
 }
 
@@ -149,18 +126,9 @@
   mCore.mFleet.Register(aRegistration, mCore.Now());
 }
 
-// The end of the last outage; an outage that was not yet noticed to be over ends now.
-std::optional<Instant> Follower::OutageEnd() const
-{
-  if (!mCore.mStoreAvailable) {
-    return mCore.Now();
-  }
-  return mOutages > 0 ? std::optional<Instant>(mStoreBackAt) : std::nullopt;
-}
-
 void Follower::Take(const ServerLeft& aLeft)
 {
-  Duration kept = decide::KeepLapsed(OutageEnd(), mCore.Now());
+  Duration kept = decide::KeepLapsed(mCore.OutageEnd(), mCore.Now());
   if (kept > Duration::zero() && mCore.mFleet.Servers().contains(aLeft.mId)) {
     asio::co_spawn(mCore.mContext, RemoveLater(aLeft.mId, kept), asio::detached);
     return;
@@ -174,7 +142,7 @@
 {
   decide::ServerPtr server = mCore.mFleet.Servers().at(aId);
   server->mLapsed = true;
-  co_await Sleep(aKept);
+  co_await mCore.Sleep(aKept);
   auto found = mCore.mFleet.Servers().find(aId);
   if (found != mCore.mFleet.Servers().end() && found->second == server &&
       server->mLapsed) {
@@ -206,7 +174,7 @@
       co_await ConfirmOnce();
     }
     int spread = static_cast<int>(mRandom() % kConfirmSpread);
-    co_await Sleep(std::chrono::milliseconds(kConfirmLook + spread));
+    co_await mCore.Sleep(std::chrono::milliseconds(kConfirmLook + spread));
   }
 }
 
@@ -216,15 +184,15 @@
   Instant asked = mCore.Now();
   try {
     store::Value value = co_await mStore.Read(mReader.ConfigKey());
-    NoteStore(true);
+    mCore.NoteStore(true);
     if (value.mVersion == 0) {
       co_return;
     }
     Apply({ mReader.ConfigKey(), std::move(value.mText), value.mVersion, false });
     mCore.Confirm(mCore.Now() - asked);
   } catch (const store::StoreError& error) {
-    spdlog::info("configuration not confirmed: {}", error.what());
-    NoteStore(false);
+    spdlog::debug("configuration not confirmed: {}", error.what());
+    mCore.NoteStore(false);
   }
 }
 
--- a/src/daemon/follow.h
+++ b/src/daemon/follow.h
@@ -2,7 +2,6 @@
 // platform's store.
 #pragma once
 
-#include <optional>
 #include <random>
 #include <string>
 #include <variant>
@@ -76,7 +75,6 @@
   Awaitable<void> ConfirmConfig();
   Awaitable<void> ConfirmOnce();
   Awaitable<void> RemoveLater(std::string aId, Duration aKept);
-  Awaitable<void> Sleep(Duration aTime);
   void Apply(const store::Item& aItem);
   void Take(const decide::ConfigPtr& aConfig);
   void Take(const decide::Registration& aRegistration);
@@ -84,16 +82,12 @@
   void Take(const Evacuation& aEvacuation);
   void Take(const Unreadable& aUnreadable);
   void DropMissing(const Position& aPosition, const store::Items& aListed);
-  void NoteStore(bool aAvailable);
-  std::optional<Instant> OutageEnd() const;
 
   entry::Core& mCore;
   store::Store& mStore;
   store::Feed& mFeed;
   const ItemReader& mReader;
   std::minstd_rand mRandom{ std::random_device{}() };
-  Instant mStoreBackAt{};
-  std::uint64_t mOutages = 0;
 };
 
 } // namespace vanillaloft::daemon
--- a/src/daemon/loops.cc
+++ b/src/daemon/loops.cc
@@ -4,8 +4,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include "store/keys.h"
 
@@ -44,22 +42,6 @@
   asio::co_spawn(mCore.mContext, ReadInstances(), asio::detached);
 }
 
-Awaitable<void> Loops::Sleep(Duration aTime)
-{
-  asio::steady_timer timer(mCore.mContext, aTime);
-  co_await timer.async_wait(asio::use_awaitable);
-}
-
-void Loops::NoteStore(bool aAvailable)
-{
-  if (aAvailable != mCore.mStoreAvailable) {
-    mCore.mStoreAvailable = aAvailable;
-    Log(spdlog::level::warn,
-        aAvailable ? Event::StoreAvailable : Event::StoreUnavailable,
-        "");
-  }
-}
-
 // Logs peers that stopped answering since the last tick.
 void Loops::NotePeers()
 {
@@ -90,7 +72,7 @@
     }
     wasReady = mCore.IsReady();
     NotePeers();
-    co_await Sleep(kTick);
+    co_await mCore.Sleep(kTick);
   }
 }
 
@@ -113,7 +95,7 @@
 {
   for (;;) {
     BeatAll();
-    co_await Sleep(mCore.mSettings.mBeatInterval);
+    co_await mCore.Sleep(mCore.mSettings.mBeatInterval);
   }
 }
 
@@ -146,7 +128,7 @@
         asio::co_spawn(mCore.mContext, ProbeOne(server.mName, address), asio::detached);
       }
     }
-    co_await Sleep(kProbeInterval);
+    co_await mCore.Sleep(kProbeInterval);
   }
 }
 
@@ -190,24 +172,24 @@
   for (;;) {
     bool watches = !mCore.Config() || mCore.mMembers.IsFirstInDataCentre(mCore.Now());
     if (!watches) {
-      co_await Sleep(kNotWatching);
+      co_await mCore.Sleep(kNotWatching);
       continue;
     }
     bool failed = false;
     try {
       store::Value value =
         co_await mStore.Watch(store::kConfigKey, mConfigVersion, kWatchWait);
-      NoteStore(true);
+      mCore.NoteStore(true);
       mConfigVersion = value.mVersion;
       co_await TakeConfig(std::move(value));
     } catch (const store::StoreError&) {
       failed = true;
     }
     if (failed) {
-      NoteStore(false);
-      co_await Sleep(kStorePause);
+      mCore.NoteStore(false);
+      co_await mCore.Sleep(kStorePause);
     } else if (mConfigVersion == 0) {
-      co_await Sleep(kStorePause); // nothing to wait for behind an absent key
+      co_await mCore.Sleep(kStorePause); // nothing to wait for behind an absent key
     }
   }
 }
@@ -280,7 +262,7 @@
           mCore.mSettings.mDataCentre);
     }
     hadPool = hasPool;
-    co_await Sleep(pause);
+    co_await mCore.Sleep(pause);
   }
 }
 
@@ -318,7 +300,7 @@
         // Peers and seeds remain; the list only adds addresses.
       }
     }
-    co_await Sleep(kInstancesInterval);
+    co_await mCore.Sleep(kInstancesInterval);
   }
 }
 
@@ -331,7 +313,7 @@
     } catch (const store::StoreError& error) {
       spdlog::debug("not announced: {}", error.what());
     }
-    co_await Sleep(kAnnounceInterval);
+    co_await mCore.Sleep(kAnnounceInterval);
   }
 }
 
@@ -365,16 +347,16 @@
   Instant lastNew = LastNewRequest();
   while (mCore.Now() < lastNew ||
          (mCore.mLedger.HasUnexpired(mCore.Now()) && mCore.Now() < latest)) {
-    co_await Sleep(kTick);
+    co_await mCore.Sleep(kTick);
   }
   mCore.mStopped = true;
   asio::co_spawn(mCore.mContext, GiveSharesBack(), asio::detached);
   mBeating.clear();
   BeatAll();
   while (mCore.mRunning > 0 && mCore.Now() < latest) {
-    co_await Sleep(kTick);
+    co_await mCore.Sleep(kTick);
   }
-  co_await Sleep(kTick);
+  co_await mCore.Sleep(kTick);
   Log(spdlog::level::info, Event::Stopped, "");
 }
 
--- a/src/daemon/loops.h
+++ b/src/daemon/loops.h
@@ -67,8 +67,6 @@
   Awaitable<void> Announce();
   Duration LongestLookUpLife() const;
   Instant LastNewRequest() const;
-  Awaitable<void> Sleep(Duration aTime);
-  void NoteStore(bool aAvailable);
   void NotePeers();
 
   entry::Core& mCore;
--- a/src/decide/fleet.cc
+++ b/src/decide/fleet.cc
@@ -133,12 +133,6 @@
   }
 }
 
-std::size_t Fleet::CountOf(ServiceId aService) const
-{
-  return static_cast<std::size_t>(std::ranges::count_if(
-    mServers, [&](const auto& aEntry) { return aEntry.second->mService == aService; }));
-}
-
 bool Fleet::MayServe(const Server& aServer, const Wish& aWish) const
 {
   if (aServer.mGone || aServer.mRegistration.mDraining ||
@@ -305,11 +299,6 @@
   aServer->mReportedAt = aNow;
 }
 
-void Fleet::ReportCold(const ServerPtr& aServer, Duration aLeft, Instant aNow)
-{
-  aServer->mColdUntil = aNow + aLeft;
-}
-
 void Fleet::Ended(const ServerPtr& aServer, SendResult aResult, Instant aNow)
 {
   Server& server = *aServer;
--- a/src/decide/fleet.h
+++ b/src/decide/fleet.h
@@ -31,7 +31,7 @@
   bool mDraining = false;
   Duration mColdLeft{}; // counted from the receipt of the registration
 
-  // True for another start, whatever name it goes by.
+  // False for another start, also under the same name.
   bool IsSameStart(const Registration& aOther) const
   {
     return mId == aOther.mId && mBorn == aOther.mBorn;
@@ -133,18 +133,14 @@
   void SetEvacuated(const std::string& aDataCentre, bool aEvacuated);
   void ClearEvacuations() { mEvacuated.clear(); }
 
-  // Chooses a server. The caller sends to it and calls Ended, or does not and calls
-  // Unused.
+  // Chooses a server. The caller sends to it and calls Ended, with Cancelled if it did
+  // not send after all.
   Choice Choose(const Wish& aWish, Instant aNow);
-  void Unused(const ServerPtr& aServer) { --aServer->mInFlight; }
   void Ended(const ServerPtr& aServer, SendResult aResult, Instant aNow);
   // Takes note of a load report that came with an answer. Called before Ended.
   void Report(const ServerPtr& aServer, const LoadReport& aLoad, Instant aNow);
-  // The server said how long it stays cold.
-  void ReportCold(const ServerPtr& aServer, Duration aLeft, Instant aNow);
 
   const std::map<std::string, ServerPtr>& Servers() const { return mServers; }
-  std::size_t CountOf(ServiceId aService) const;
 
 private:
   // Traffic inside a region but between its data centres is the dearest.
--- a/src/entry/admission.cc
+++ b/src/entry/admission.cc
@@ -18,12 +18,6 @@
 constexpr Duration kLongestWait = std::chrono::milliseconds(20);
 constexpr std::chrono::milliseconds kAskTimeout{ 60 };
 
-Awaitable<void> Sleep(asio::io_context& aContext, Duration aTime)
-{
-  asio::steady_timer timer(aContext, aTime);
-  co_await timer.async_wait(asio::use_awaitable);
-}
-
 } // namespace
 
 // A token that arrives after its life is lost: its holder has refilled meanwhile.
@@ -107,7 +101,7 @@
     if (mCore.Now() + wait > aUntil) {
       co_return false;
     }
-    co_await Sleep(mCore.mContext, wait);
+    co_await mCore.Sleep(wait);
   }
 }
 
--- a/src/entry/core.cc
+++ b/src/entry/core.cc
@@ -1,5 +1,8 @@
 #include "entry/core.h"
 
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <prometheus/text_serializer.h>
 
 namespace vanillaloft::entry {
@@ -131,6 +134,32 @@
   return ConfirmedAge() > mSettings.mConfirmationLife && !cannotMiss;
 }
 
+Awaitable<void> Core::Sleep(Duration aTime)
+{
+  boost::asio::steady_timer timer(mContext, aTime);
+  co_await timer.async_wait(boost::asio::use_awaitable);
+}
+
+void Core::NoteStore(bool aAvailable)
+{
+  if (aAvailable == mStoreAvailable) {
+    return;
+  }
+  mStoreAvailable = aAvailable;
+  base::Event event =
+    aAvailable ? base::Event::StoreAvailable : base::Event::StoreUnavailable;
+  base::Log(spdlog::level::warn, event, "");
+  if (aAvailable && mStoreWasAvailable) {
+    mOutageEnd = Now();
+  }
+  mStoreWasAvailable = true;
+}
+
+std::optional<Instant> Core::OutageEnd() const
+{
+  return mStoreAvailable ? mOutageEnd : Now();
+}
+
 double Core::RetryReserve() const
 {
   if (mSettings.mFleetRetryReserve <= 0) {
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
@@ -129,6 +130,14 @@
   // Retries that this instance may save up for a service.
   double RetryReserve() const;
 
+  // Waits on the runtime's clock.
+  Awaitable<void> Sleep(Duration aTime);
+  // Takes note of whether the store answers; a change is logged.
+  void NoteStore(bool aAvailable);
+  // The end of the last outage of the store; one that is not yet noticed to be over ends
+  // now. Nothing if there was none.
+  std::optional<Instant> OutageEnd() const;
+
   decide::MemberStatus Status() const;
 
   boost::asio::io_context& mContext;
@@ -151,6 +160,8 @@
   base::Incarnation mSelf;
   decide::Acceptor mAcceptor;
   Instant mConfirmedAt{};
+  bool mStoreWasAvailable = false; // at any time
+  std::optional<Instant> mOutageEnd;
   Instant mConfiguredAt{};
 };
 
--- a/src/entry/direct.cc
+++ b/src/entry/direct.cc
@@ -15,10 +15,6 @@
 
 // A request waits for a server that knows its object for this part of its latency target.
 constexpr double kWaitPart = 0.125;
-// Where there are few that wait, it waits for any server for this part in all; more would
-// only be refused later.
-constexpr double kLongWaitPart = 0.125;
-constexpr std::size_t kMostWaiting = 6; // for one service
 constexpr Duration kDefaultTarget = std::chrono::milliseconds(400);
 // Room also comes with time: pauses end and cold servers take more.
 constexpr Duration kLookAgain = std::chrono::milliseconds(25);
@@ -29,13 +25,13 @@
   return aExchange.RouteInForce().mKind != decide::RouteKind::Order;
 }
 
-// When a request has waited for a part of its latency target.
-Instant WaitEnd(const Exchange& aExchange, double aPart)
+// When a request has waited long enough.
+Instant WaitEnd(const Exchange& aExchange)
 {
   Duration target = aExchange.RouteInForce().mLatencyTarget;
   target = target > Duration::zero() ? target : kDefaultTarget;
-  Instant end = aExchange.mArrival + std::chrono::duration_cast<Duration>(target * aPart);
-  return std::min(end, aExchange.mDeadline);
+  Duration wait = std::chrono::duration_cast<Duration>(target * kWaitPart);
+  return std::min(aExchange.mArrival + wait, aExchange.mDeadline);
 }
 
 unsigned PriorityOf(const Exchange& aExchange)
@@ -131,11 +127,10 @@
 Awaitable<decide::ServerPtr> DirectPlacement::Pick(Exchange& aExchange,
                                                    const Tries& aTries)
 {
-  Instant spillAt = WaitEnd(aExchange, kWaitPart);
-  Instant until = WaitEnd(aExchange, kLongWaitPart);
+  Instant until = WaitEnd(aExchange);
   decide::Wish wish = WishOf(aExchange, aTries);
   for (;;) {
-    wish.mMaySpill = mCore.Now() >= spillAt;
+    wish.mMaySpill = mCore.Now() >= until;
     decide::Choice choice = mCore.mFleet.Choose(wish, mCore.Now());
     if (choice.mServer) {
       co_return choice.mServer;
@@ -143,8 +138,7 @@
     if (choice.mWhy == decide::NoChoice::None) {
       throw RequestError(Result::NoBackendServer);
     }
-    bool crowded = mWaiters[aExchange.ServiceName()].size() >= kMostWaiting;
-    if (aExchange.CallerGone() || mCore.Now() >= until || (wish.mMaySpill && crowded)) {
+    if (aExchange.CallerGone() || wish.mMaySpill) {
       throw RequestError(Result::QueueTimeout);
     }
     co_await WaitForRoom(aExchange, until);
--- a/src/entry/format.h
+++ b/src/entry/format.h
@@ -31,7 +31,6 @@
   bool mGenuine = true;  // false: not what the service made
   bool mFailure = false; // the service failed
   std::optional<decide::LoadReport> mLoad;
-  std::optional<Duration> mColdLeft;
 };
 
 class Format
--- a/tests/unit/platform.cc
+++ b/tests/unit/platform.cc
@@ -147,8 +147,13 @@
 TEST_CASE("a configuration that cannot be read is an error, not a crash")
 {
   platform::Reader reader = MakeReader();
-  for (const char* text :
-       { "", "{", "[]", "{\"version\":\"12\"}", "{\"version\":\"r1\"}" }) {
+  for (const char* text : { "",
+                            "{",
+                            "[]",
+                            "{\"version\":\"12\"}",
+                            "{\"version\":\"\"}",
+                            "{\"version\":\"r\"}",
+                            "{\"version\":\"r1\"}" }) {
     CHECK_THROWS_AS(reader.ReadConfig(text), decide::ConfigError);
   }
 }
