Objects have one home in their region, one copy by data centre, one server far away

Both data centres of a region ask about the same objects, 73 of them at its largest service. With one server in each data centre, either server met all 73 and forgot each before it was asked again; the copies in the own region and beyond brought 128 objects to a server on average. A quarter of all sends was slow and took half of all slot time. Change: decide/rank.h. The home is chosen among the own data centre's servers if it has two or more, otherwise among the region's; the second server is the one that the mate's callers use; the third stands where callers leave room.

--- a/src/decide/fleet.cc
+++ b/src/decide/fleet.cc
@@ -1,7 +1,6 @@
 #include "decide/fleet.h"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 
 #include <xxhash.h>
@@ -26,8 +25,6 @@
 constexpr double kFaultSmoothing = 0.2;
 // A server with a larger share of faults is used only where no other has room.
 constexpr double kDoubtful = 0.25;
-// Servers of one object: in the own data centre, in other regions, and in the own region.
-constexpr std::array<std::size_t, 3> kMostByReach = { 2, 1, 1 };
 // First pause of a server that could not be reached, doubled for each further fault.
 constexpr Duration kFirstPause = std::chrono::milliseconds(250);
 constexpr unsigned kMostDoublings = 4;
@@ -44,10 +41,9 @@
 // Room for a part of a request, since the load of other instances is an estimate.
 constexpr double kOverfill = 0.2;
 
-std::uint64_t HashOf(const std::string& aObject, const std::string& aServer)
+std::uint64_t HashOf(const std::string& aText)
 {
-  std::uint64_t seed = XXH3_64bits(aObject.data(), aObject.size());
-  return XXH3_64bits_withSeed(aServer.data(), aServer.size(), seed);
+  return XXH3_64bits(aText.data(), aText.size());
 }
 
 bool Contains(const std::vector<RegionId>& aRegions, RegionId aRegion)
@@ -147,7 +143,7 @@
          std::ranges::find(aWish.mTried, &aServer) == aWish.mTried.end();
 }
 
-Fleet::Reach Fleet::ReachOf(const Server& aServer) const
+Reach Fleet::ReachOf(const Server& aServer) const
 {
   if (aServer.mDataCentre == mOwn) {
     return Reach::Own;
@@ -158,34 +154,28 @@
   return sameRegion ? Reach::OwnRegion : Reach::Elsewhere;
 }
 
-// The few servers that know an object, best first: sound before doubtful, then by reach,
-// then by the object's own order. A server answers fast only about a limited number of
-// objects, so an object that is not held to few servers slows all of them down.
-std::vector<Fleet::Ranked> Fleet::Rank(const Wish& aWish) const
+std::vector<Fleet::Holder> Fleet::Holders(const Wish& aWish) const
 {
-  std::vector<Ranked> ranked;
+  std::vector<ServerPtr> servers;
+  std::vector<PlacedServer> placed;
   for (const auto& [id, server] : mServers) {
     if (MayServe(*server, aWish)) {
-      bool doubtful = server->mFaultShare > kDoubtful;
-      ranked.push_back(
-        { ReachOf(*server), doubtful, HashOf(aWish.mObject, id), &server });
+      RegionId region = mConfig->mDataCentres[server->mDataCentre.At()].mRegion;
+      placed.push_back({ servers.size(),
+                         HashOf(id),
+                         ReachOf(*server),
+                         server->mDataCentre,
+                         region,
+                         double(server->mRegistration.mSlots),
+                         server->mFaultShare > kDoubtful });
+      servers.push_back(server);
     }
   }
-  std::ranges::sort(ranked, [](const Ranked& aLeft, const Ranked& aRight) {
-    if (aLeft.mReach != aRight.mReach) {
-      return aLeft.mReach < aRight.mReach;
-    }
-    return aLeft.mWeight > aRight.mWeight;
-  });
-  std::array<std::size_t, kMostByReach.size()> taken{};
-  std::erase_if(ranked, [&](const Ranked& aCandidate) {
-    auto reach = static_cast<std::size_t>(aCandidate.mReach);
-    return ++taken.at(reach) > kMostByReach.at(reach);
-  });
-  std::stable_partition(ranked.begin(), ranked.end(), [](const Ranked& aCandidate) {
-    return !aCandidate.mDoubtful;
-  });
-  return ranked;
+  std::vector<Holder> holders;
+  for (const PlacedServer& holder : HoldersOf(HashOf(aWish.mObject), placed)) {
+    holders.push_back({ holder.mReach, servers[holder.mIndex] });
+  }
+  return holders;
 }
 
 // Only one instance sends to a cold server, at the server's pace.
@@ -243,29 +233,29 @@
 // answers slowly at first, so it is taken only after waiting for the others. Servers of
 // other regions are left out where traffic would move there too fast, and come first
 // where it would move back too fast.
-const Fleet::Ranked* Fleet::Pick(const std::vector<Ranked>& aRanked,
+const Fleet::Holder* Fleet::Pick(const std::vector<Holder>& aHolders,
                                  const Wish& aWish,
                                  Instant aNow)
 {
-  std::uint64_t object = HashOf(aWish.mObject, "");
-  const Ranked* near = nullptr; // best in the region
-  const Ranked* far = nullptr;  // best in other regions
+  std::uint64_t object = HashOf(aWish.mObject);
+  const Holder* near = nullptr; // best in the region
+  const Holder* far = nullptr;  // best in other regions
   bool inRegion = false;
-  for (const Ranked& entry : aRanked) {
-    bool leaves = entry.mReach == Reach::Elsewhere;
+  for (const Holder& holder : aHolders) {
+    bool leaves = holder.mReach == Reach::Elsewhere;
     inRegion = inRegion || !leaves;
-    const Ranked*& best = leaves ? far : near;
-    Server& server = **entry.mServer;
+    const Holder*& best = leaves ? far : near;
+    Server& server = *holder.mServer;
     bool welcome =
-      &entry == &aRanked.front() || aWish.mMaySpill || Knows(server, object, aNow);
+      &holder == &aHolders.front() || aWish.mMaySpill || Knows(server, object, aNow);
     if (!best && welcome && HasRoom(server, aNow)) {
-      best = &entry;
+      best = &holder;
     }
   }
   if (!inRegion || !far) {
     return near ? near : far;
   }
-  if (near && (near->mReach == Reach::Own || near < far)) {
+  if (near && near < far) {
     return mRamp.MustLeave(aNow) ? far : near;
   }
   return mRamp.MayLeave(aNow) ? far : near;
@@ -276,17 +266,17 @@
   if (!mConfig) {
     return {};
   }
-  std::vector<Ranked> ranked = Rank(aWish);
-  const Ranked* picked = Pick(ranked, aWish, aNow);
+  std::vector<Holder> holders = Holders(aWish);
+  const Holder* picked = Pick(holders, aWish, aNow);
   if (!picked) {
-    return { nullptr, ranked.empty() ? NoChoice::None : NoChoice::Full };
+    return { nullptr, holders.empty() ? NoChoice::None : NoChoice::Full };
   }
-  Server& server = **picked->mServer;
+  Server& server = *picked->mServer;
   ++server.mInFlight;
   TakePace(server, aNow);
-  Learn(server, HashOf(aWish.mObject, ""), aNow);
+  Learn(server, HashOf(aWish.mObject), aNow);
   mRamp.Count(picked->mReach == Reach::Elsewhere, aNow);
-  return { *picked->mServer, NoChoice::None };
+  return { picked->mServer, NoChoice::None };
 }
 
 void Fleet::Report(const ServerPtr& aServer, const LoadReport& aLoad, Instant aNow)
--- a/src/decide/fleet.h
+++ b/src/decide/fleet.h
@@ -16,6 +16,7 @@
 #include "decide/config.h"
 #include "decide/member.h"
 #include "decide/ramp.h"
+#include "decide/rank.h"
 
 namespace vanillaloft::decide {
 
@@ -143,19 +144,11 @@
   const std::map<std::string, ServerPtr>& Servers() const { return mServers; }
 
 private:
-  // Traffic inside a region but between its data centres is the dearest.
-  enum class Reach : std::uint8_t
-  {
-    Own,
-    Elsewhere,
-    OwnRegion
-  };
-  struct Ranked
+  // A server that holds the wished object.
+  struct Holder
   {
     Reach mReach;
-    bool mDoubtful; // fails often, used only where no other has room
-    std::uint64_t mWeight;
-    const ServerPtr* mServer;
+    ServerPtr mServer;
   };
 
   void Resolve(Server& aServer) const;
@@ -165,9 +158,11 @@
   static bool Knows(const Server& aServer, std::uint64_t aObject, Instant aNow);
   static void Learn(Server& aServer, std::uint64_t aObject, Instant aNow);
   bool Paces(const Server& aServer, Instant aNow) const;
-  const Ranked* Pick(const std::vector<Ranked>& aRanked, const Wish& aWish, Instant aNow);
+  const Holder* Pick(const std::vector<Holder>& aHolders,
+                     const Wish& aWish,
+                     Instant aNow);
   Reach ReachOf(const Server& aServer) const;
-  std::vector<Ranked> Rank(const Wish& aWish) const;
+  std::vector<Holder> Holders(const Wish& aWish) const;
 
   std::string mOwnName;
   const Members& mMembers;
--- /dev/null
+++ b/src/decide/rank.cc
@@ -0,0 +1,154 @@
+#include "decide/rank.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+
+#include <xxhash.h>
+
+namespace vanillaloft::decide {
+
+namespace {
+
+// A data centre with fewer servers shares its objects with the others of the region: one
+// server alone does not remember all of them.
+constexpr std::size_t kFewestForOwnCopy = 2;
+// An object has at least this many servers, if there are so many in its region.
+constexpr std::size_t kFewestHolders = 2;
+// A region's own callers are taken to need this part of an even share of all servers. Only
+// the rest of its servers' room is offered to other regions.
+constexpr double kOwnNeed = 0.5;
+constexpr double kLeastSpare = 0.05;
+
+using Group = std::vector<PlacedServer>;
+
+// Uniform in (0, 1), the same for the same pair.
+double Draw(std::uint64_t aObject, std::uint64_t aServer)
+{
+  constexpr double kRange = 18446744073709551616.0; // 2^64
+  std::uint64_t hash = XXH3_64bits_withSeed(&aServer, sizeof aServer, aObject);
+  return (double(hash) + 0.5) / kRange;
+}
+
+// Rendezvous hashing: each server's chance of being the first is its weight's share.
+template<typename Weight>
+const PlacedServer* First(const Group& aGroup, std::uint64_t aObject, Weight aWeight)
+{
+  const PlacedServer* best = nullptr;
+  double bestScore = 0;
+  for (const PlacedServer& server : aGroup) {
+    double score = -aWeight(server) / std::log(Draw(aObject, server.mKey));
+    bool better = !best || (best->mDoubtful && !server.mDoubtful) ||
+                  (best->mDoubtful == server.mDoubtful && score > bestScore);
+    if (better) {
+      best = &server;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+// Adds the object's first server of a group among those that are not there yet.
+template<typename Weight>
+void AddFirst(Group& aHolders, Group aGroup, std::uint64_t aObject, Weight aWeight)
+{
+  std::erase_if(aGroup, [&](const PlacedServer& aServer) {
+    return std::ranges::find(aHolders, aServer.mIndex, &PlacedServer::mIndex) !=
+           aHolders.end();
+  });
+  if (const PlacedServer* first = First(aGroup, aObject, aWeight)) {
+    aHolders.push_back(*first);
+  }
+}
+
+template<typename Accept>
+Group Those(const Group& aServers, Accept aAccept)
+{
+  Group group;
+  std::ranges::copy_if(aServers, std::back_inserter(group), aAccept);
+  return group;
+}
+
+double BySlots(const PlacedServer& aServer)
+{
+  return aServer.mSlots;
+}
+
+// The servers among which an object's home is chosen.
+Group HomeGroup(const Group& aServers)
+{
+  Group own = Those(aServers, [](const PlacedServer& aServer) {
+    return aServer.mReach == Reach::Own;
+  });
+  if (own.size() >= kFewestForOwnCopy) {
+    return own;
+  }
+  return Those(aServers, [](const PlacedServer& aServer) {
+    return aServer.mReach != Reach::Elsewhere;
+  });
+}
+
+// Servers of the region's other data centres that keep copies of their own.
+Group CopyGroup(const Group& aServers)
+{
+  std::map<base::DataCentreId, std::size_t> counts;
+  for (const PlacedServer& server : aServers) {
+    ++counts[server.mDataCentre];
+  }
+  return Those(aServers, [&](const PlacedServer& aServer) {
+    return aServer.mReach == Reach::OwnRegion &&
+           counts[aServer.mDataCentre] >= kFewestForOwnCopy;
+  });
+}
+
+// Part of a server's room in each region that its own callers leave.
+class Spare
+{
+public:
+  explicit Spare(const Group& aServers)
+  {
+    for (const PlacedServer& server : aServers) {
+      mAll += server.mSlots;
+      mByRegion[server.mRegion] += server.mSlots;
+    }
+  }
+
+  double operator()(const PlacedServer& aServer) const
+  {
+    double evenShare = mAll / double(mByRegion.size());
+    double spare = 1 - kOwnNeed * evenShare / mByRegion.at(aServer.mRegion);
+    return aServer.mSlots * std::max(kLeastSpare, spare);
+  }
+
+private:
+  double mAll = 0;
+  std::map<base::RegionId, double> mByRegion;
+};
+
+} // namespace
+
+std::vector<PlacedServer> HoldersOf(std::uint64_t aObject,
+                                 const std::vector<PlacedServer>& aServers)
+{
+  Group home = HomeGroup(aServers);
+  bool ownCopy = std::ranges::all_of(home, [](const PlacedServer& aServer) {
+    return aServer.mReach == Reach::Own;
+  });
+  Group far = Those(aServers, [](const PlacedServer& aServer) {
+    return aServer.mReach == Reach::Elsewhere;
+  });
+  Group holders;
+  AddFirst(holders, home, aObject, BySlots);
+  if (ownCopy) {
+    AddFirst(holders, CopyGroup(aServers), aObject, BySlots);
+  }
+  AddFirst(holders, far, aObject, Spare(aServers));
+  if (holders.size() < kFewestHolders) {
+    AddFirst(holders, home, aObject, BySlots);
+  }
+  std::ranges::stable_partition(
+    holders, [](const PlacedServer& aServer) { return !aServer.mDoubtful; });
+  return holders;
+}
+
+} // namespace vanillaloft::decide
--- /dev/null
+++ b/src/decide/rank.h
@@ -0,0 +1,40 @@
+// Which few of a service's backend servers hold an object. A server answers fast only
+// about the objects that it handled lately, and remembers a limited number of them, so
+// each server has to meet as few objects as possible. Callers of one region ask about the
+// same objects, whichever data centre they are in.
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "base/types.h"
+
+namespace vanillaloft::decide {
+
+// Where a server stands, seen from the instance that chooses.
+enum class Reach : std::uint8_t
+{
+  Own,       // in the own data centre
+  OwnRegion, // in another data centre of the region
+  Elsewhere  // in another region
+};
+
+// A server that may take a request.
+struct PlacedServer
+{
+  std::size_t mIndex = 0; // the asker's index of it
+  std::uint64_t mKey = 0;  // hash of its name
+  Reach mReach = Reach::Own;
+  base::DataCentreId mDataCentre;
+  base::RegionId mRegion;
+  double mSlots = 1;
+  bool mDoubtful = false; // fails often, used only where no other has room
+};
+
+// The servers that hold an object, best first: its home in the region, the copy that the
+// region's other data centre uses, and one in another region. Alike on all instances that
+// see the same servers; few objects move when a server comes or goes.
+std::vector<PlacedServer> HoldersOf(std::uint64_t aObject,
+                                 const std::vector<PlacedServer>& aServers);
+
+} // namespace vanillaloft::decide
