Tokens of requests that did not run are put back; a small region keeps only its part of the objects

(1) Each refusal for want of room kept the token that was taken for it, so of 8,900 requests within the limit 8,017 tries got 429. (2) The organisation's requests filled its region's servers, and 1,655 of 1,747 refusals of the others in 8 s had a server with room in another region, which the ramp did not allow yet: it starts at no traffic leaving and takes 10 s to let half of it leave, anew after each restart. Ruled out: the estimate of others' load (load reports of the refused-by servers said full), cold servers, faults. Change: tokens go back to the share where the request did not run. A region with fewer slots than the average keeps that part of its objects; the others live elsewhere from the first request, so nothing has to move. The ramp of a process that has just started takes the usual part for what left before. A refusal's log line names the servers that had no room, with the belief that decided it and its age.

--- a/src/decide/bucket.h
+++ b/src/decide/bucket.h
@@ -46,6 +46,13 @@
     return true;
   }
 
+  // Puts tokens back that were taken but not used. Those above the burst are lost.
+  void Put(MicroTokens aAmount, base::Instant aNow)
+  {
+    Refill(aNow);
+    mLevel = std::min(mLevel + aAmount, mRate.mBurst);
+  }
+
   // Time until the amount is there if nobody else takes any; Duration::max() if never.
   base::Duration TimeUntil(MicroTokens aAmount, base::Instant aNow)
   {
--- a/src/decide/fleet.cc
+++ b/src/decide/fleet.cc
@@ -154,7 +154,7 @@
   return sameRegion ? Reach::OwnRegion : Reach::Elsewhere;
 }
 
-std::vector<Fleet::Holder> Fleet::Holders(const Wish& aWish) const
+Fleet::Holding Fleet::HoldingOf(const Wish& aWish) const
 {
   std::vector<ServerPtr> servers;
   std::vector<PlacedServer> placed;
@@ -171,11 +171,12 @@
       servers.push_back(server);
     }
   }
-  std::vector<Holder> holders;
+  Holding holding;
+  holding.mUsuallyFar = 1 - HomePart(placed);
   for (const PlacedServer& holder : HoldersOf(HashOf(aWish.mObject), placed)) {
-    holders.push_back({ holder.mReach, servers[holder.mIndex] });
+    holding.mHolders.push_back({ holder.mReach, servers[holder.mIndex] });
   }
-  return holders;
+  return holding;
 }
 
 // Only one instance sends to a cold server, at the server's pace.
@@ -233,21 +234,19 @@
 // answers slowly at first, so it is taken only after waiting for the others. Servers of
 // other regions are left out where traffic would move there too fast, and come first
 // where it would move back too fast.
-const Fleet::Holder* Fleet::Pick(const std::vector<Holder>& aHolders,
-                                 const Wish& aWish,
-                                 Instant aNow)
+const Fleet::Holder* Fleet::Pick(const Holding& aHolding, const Wish& aWish, Instant aNow)
 {
   std::uint64_t object = HashOf(aWish.mObject);
   const Holder* near = nullptr; // best in the region
   const Holder* far = nullptr;  // best in other regions
   bool inRegion = false;
-  for (const Holder& holder : aHolders) {
+  for (const Holder& holder : aHolding.mHolders) {
     bool leaves = holder.mReach == Reach::Elsewhere;
     inRegion = inRegion || !leaves;
     const Holder*& best = leaves ? far : near;
     Server& server = *holder.mServer;
-    bool welcome =
-      &holder == &aHolders.front() || aWish.mMaySpill || Knows(server, object, aNow);
+    bool welcome = &holder == &aHolding.mHolders.front() || aWish.mMaySpill ||
+                   Knows(server, object, aNow);
     if (!best && welcome && HasRoom(server, aNow)) {
       best = &holder;
     }
@@ -256,9 +255,9 @@
     return near ? near : far;
   }
   if (near && near < far) {
-    return mRamp.MustLeave(aNow) ? far : near;
+    return mRamp.MustLeave(aHolding.mUsuallyFar, aNow) ? far : near;
   }
-  return mRamp.MayLeave(aNow) ? far : near;
+  return mRamp.MayLeave(aHolding.mUsuallyFar, aNow) ? far : near;
 }
 
 Choice Fleet::Choose(const Wish& aWish, Instant aNow)
@@ -266,10 +265,10 @@
   if (!mConfig) {
     return {};
   }
-  std::vector<Holder> holders = Holders(aWish);
-  const Holder* picked = Pick(holders, aWish, aNow);
+  Holding holding = HoldingOf(aWish);
+  const Holder* picked = Pick(holding, aWish, aNow);
   if (!picked) {
-    return { nullptr, holders.empty() ? NoChoice::None : NoChoice::Full };
+    return { nullptr, holding.mHolders.empty() ? NoChoice::None : NoChoice::Full };
   }
   Server& server = *picked->mServer;
   ++server.mInFlight;
@@ -279,6 +278,22 @@
   return { picked->mServer, NoChoice::None };
 }
 
+std::vector<HolderState> Fleet::Explain(const Wish& aWish, Instant aNow)
+{
+  std::vector<HolderState> states;
+  std::uint64_t object = HashOf(aWish.mObject);
+  for (const Holder& holder : HoldingOf(aWish).mHolders) {
+    Server& server = *holder.mServer;
+    states.push_back({ holder.mServer,
+                       server.mInFlight,
+                       OthersNow(server, aNow),
+                       aNow - server.mReportedAt,
+                       Knows(server, object, aNow),
+                       HasRoom(server, aNow) });
+  }
+  return states;
+}
+
 void Fleet::Report(const ServerPtr& aServer, const LoadReport& aLoad, Instant aNow)
 {
   double total = double(aLoad.mRunning) + aLoad.mWaiting;
--- a/src/decide/fleet.h
+++ b/src/decide/fleet.h
@@ -109,6 +109,17 @@
   NoChoice mWhy = NoChoice::None;
 };
 
+// What a choice knew about one server that holds the object.
+struct HolderState
+{
+  ServerPtr mServer;
+  unsigned mInFlight = 0; // of this instance
+  double mOthers = 0;     // believed of other instances
+  Duration mReportAge{};  // of the belief
+  bool mKnows = false;    // was sent a request about the object lately
+  bool mHasRoom = false;
+};
+
 constexpr Duration kShiftWindow = std::chrono::seconds(2);
 
 class Fleet
@@ -137,6 +148,8 @@
   // Chooses a server. The caller sends to it and calls Ended, with Cancelled if it did
   // not send after all.
   Choice Choose(const Wish& aWish, Instant aNow);
+  // What a choice would decide by now, best server first.
+  std::vector<HolderState> Explain(const Wish& aWish, Instant aNow);
   void Ended(const ServerPtr& aServer, SendResult aResult, Instant aNow);
   // Takes note of a load report that came with an answer. Called before Ended.
   void Report(const ServerPtr& aServer, const LoadReport& aLoad, Instant aNow);
@@ -158,11 +171,17 @@
   static bool Knows(const Server& aServer, std::uint64_t aObject, Instant aNow);
   static void Learn(Server& aServer, std::uint64_t aObject, Instant aNow);
   bool Paces(const Server& aServer, Instant aNow) const;
-  const Holder* Pick(const std::vector<Holder>& aHolders,
-                     const Wish& aWish,
-                     Instant aNow);
+  // The servers of an object, best first, and the part of such requests that leaves the
+  // region as a rule.
+  struct Holding
+  {
+    std::vector<Holder> mHolders;
+    double mUsuallyFar = 0;
+  };
+
+  const Holder* Pick(const Holding& aHolding, const Wish& aWish, Instant aNow);
   Reach ReachOf(const Server& aServer) const;
-  std::vector<Holder> Holders(const Wish& aWish) const;
+  Holding HoldingOf(const Wish& aWish) const;
 
   std::string mOwnName;
   const Members& mMembers;
--- a/src/decide/ramp.cc
+++ b/src/decide/ramp.cc
@@ -29,17 +29,17 @@
   }
 }
 
-bool ShiftRamp::MayLeave(base::Instant aNow)
+bool ShiftRamp::MayLeave(double aUsual, base::Instant aNow)
 {
   Forget(aNow);
   double total = std::max(mNow.mTotal + 1, kFewest);
-  return mNow.mLeft + 1 <= (mBefore.Share() + mMostChange) * total;
+  return mNow.mLeft + 1 <= (mBefore.ShareOr(aUsual) + mMostChange) * total;
 }
 
-bool ShiftRamp::MustLeave(base::Instant aNow)
+bool ShiftRamp::MustLeave(double aUsual, base::Instant aNow)
 {
   Forget(aNow);
-  return mNow.mLeft < (mBefore.Share() - mMostChange) * (mNow.mTotal + 1);
+  return mNow.mLeft < (mBefore.ShareOr(aUsual) - mMostChange) * (mNow.mTotal + 1);
 }
 
 void ShiftRamp::Count(bool aLeft, base::Instant aNow)
--- a/src/decide/ramp.h
+++ b/src/decide/ramp.h
@@ -19,10 +19,11 @@
   {
   }
 
-  // True if one more request may leave the region.
-  bool MayLeave(base::Instant aNow);
+  // True if one more request may leave the region. aUsual is the share that leaves as a
+  // rule, for windows without requests: that of a process that has just started.
+  bool MayLeave(double aUsual, base::Instant aNow);
   // True if this request has to leave, because traffic would come back too fast.
-  bool MustLeave(base::Instant aNow);
+  bool MustLeave(double aUsual, base::Instant aNow);
   // Counts a request that was sent.
   void Count(bool aLeft, base::Instant aNow);
 
@@ -41,7 +42,7 @@
     double mTotal = 0;
     double mLeft = 0;
 
-    double Share() const { return mTotal > 0 ? mLeft / mTotal : 0; }
+    double ShareOr(double aUsual) const { return mTotal > 0 ? mLeft / mTotal : aUsual; }
   };
 
   void Forget(base::Instant aNow);
--- a/src/decide/rank.cc
+++ b/src/decide/rank.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <set>
 
 #include <xxhash.h>
 
@@ -15,10 +16,12 @@
 constexpr std::size_t kFewestForOwnCopy = 2;
 // An object has at least this many servers, if there are so many in its region.
 constexpr std::size_t kFewestHolders = 2;
-// A region's own callers are taken to need this part of an even share of all servers. Only
-// the rest of its servers' room is offered to other regions.
+// A region's own callers are taken to need this part of an even share of all servers.
+// Only the rest of its servers' room is offered to other regions.
 constexpr double kOwnNeed = 0.5;
 constexpr double kLeastSpare = 0.05;
+// Makes the draw for the home part independent of those for servers.
+constexpr std::uint64_t kHomePartSalt = 0x686f6d65;
 
 using Group = std::vector<PlacedServer>;
 
@@ -77,9 +80,8 @@
 // The servers among which an object's home is chosen.
 Group HomeGroup(const Group& aServers)
 {
-  Group own = Those(aServers, [](const PlacedServer& aServer) {
-    return aServer.mReach == Reach::Own;
-  });
+  Group own = Those(
+    aServers, [](const PlacedServer& aServer) { return aServer.mReach == Reach::Own; });
   if (own.size() >= kFewestForOwnCopy) {
     return own;
   }
@@ -101,6 +103,11 @@
   });
 }
 
+bool IsFar(const PlacedServer& aServer)
+{
+  return aServer.mReach == Reach::Elsewhere;
+}
+
 // Part of a server's room in each region that its own callers leave.
 class Spare
 {
@@ -127,16 +134,26 @@
 
 } // namespace
 
+double HomePart(const std::vector<PlacedServer>& aServers)
+{
+  double all = 0;
+  double own = 0;
+  std::set<base::RegionId> regions;
+  for (const PlacedServer& server : aServers) {
+    all += server.mSlots;
+    own += IsFar(server) ? 0 : server.mSlots;
+    regions.insert(server.mRegion);
+  }
+  return all > 0 ? std::min(1.0, own * double(regions.size()) / all) : 1.0;
+}
+
 std::vector<PlacedServer> HoldersOf(std::uint64_t aObject,
-                                 const std::vector<PlacedServer>& aServers)
+                                    const std::vector<PlacedServer>& aServers)
 {
   Group home = HomeGroup(aServers);
-  bool ownCopy = std::ranges::all_of(home, [](const PlacedServer& aServer) {
-    return aServer.mReach == Reach::Own;
-  });
-  Group far = Those(aServers, [](const PlacedServer& aServer) {
-    return aServer.mReach == Reach::Elsewhere;
-  });
+  bool ownCopy = std::ranges::all_of(
+    home, [](const PlacedServer& aServer) { return aServer.mReach == Reach::Own; });
+  Group far = Those(aServers, IsFar);
   Group holders;
   AddFirst(holders, home, aObject, BySlots);
   if (ownCopy) {
@@ -146,6 +163,9 @@
   if (holders.size() < kFewestHolders) {
     AddFirst(holders, home, aObject, BySlots);
   }
+  if (Draw(aObject, kHomePartSalt) >= HomePart(aServers)) {
+    std::ranges::stable_partition(holders, IsFar);
+  }
   std::ranges::stable_partition(
     holders, [](const PlacedServer& aServer) { return !aServer.mDoubtful; });
   return holders;
--- a/src/decide/rank.h
+++ b/src/decide/rank.h
@@ -23,7 +23,7 @@
 struct PlacedServer
 {
   std::size_t mIndex = 0; // the asker's index of it
-  std::uint64_t mKey = 0;  // hash of its name
+  std::uint64_t mKey = 0; // hash of its name
   Reach mReach = Reach::Own;
   base::DataCentreId mDataCentre;
   base::RegionId mRegion;
@@ -31,10 +31,16 @@
   bool mDoubtful = false; // fails often, used only where no other has room
 };
 
+// The part of its objects that the own region keeps: all, unless it has fewer slots than
+// regions have on average. The others live in other regions from the start, since a move
+// under load comes too late and is slow.
+double HomePart(const std::vector<PlacedServer>& aServers);
+
 // The servers that hold an object, best first: its home in the region, the copy that the
-// region's other data centre uses, and one in another region. Alike on all instances that
-// see the same servers; few objects move when a server comes or goes.
+// region's other data centre uses, and one in another region, which comes first for
+// objects that the region does not keep. Alike on all instances that see the same
+// servers; few objects move when a server comes or goes.
 std::vector<PlacedServer> HoldersOf(std::uint64_t aObject,
-                                 const std::vector<PlacedServer>& aServers);
+                                    const std::vector<PlacedServer>& aServers);
 
 } // namespace vanillaloft::decide
--- a/src/decide/share.cc
+++ b/src/decide/share.cc
@@ -502,6 +502,14 @@
   return mBuckets[aBudget.At()].Take(aAmount, aNow);
 }
 
+void ShareHolder::Return(BudgetId aBudget, MicroTokens aAmount, Instant aNow)
+{
+  if (mConfig) {
+    Settle(aNow);
+    mBuckets[aBudget.At()].Put(aAmount, aNow);
+  }
+}
+
 Duration ShareHolder::TimeUntil(BudgetId aBudget, MicroTokens aAmount, Instant aNow)
 {
   Settle(aNow);
--- a/src/decide/share.h
+++ b/src/decide/share.h
@@ -129,6 +129,9 @@
 
   // Takes tokens from what is held now, for this instance or for one that asked.
   bool Spend(BudgetId aBudget, MicroTokens aAmount, Instant aNow);
+  // Puts tokens back that were taken, here or from another holder, for a request that did
+  // not run. They are lost if this instance holds no share of the budget.
+  void Return(BudgetId aBudget, MicroTokens aAmount, Instant aNow);
   // Time until an amount is there; Duration::max() if this share never reaches it.
   Duration TimeUntil(BudgetId aBudget, MicroTokens aAmount, Instant aNow);
   // Counts demand, whether it is met or not.
--- a/src/entry/direct.cc
+++ b/src/entry/direct.cc
@@ -139,6 +139,7 @@
       throw RequestError(Result::NoBackendServer);
     }
     if (aExchange.CallerGone() || wish.mMaySpill) {
+      NoteRefusal(aExchange, wish);
       throw RequestError(Result::QueueTimeout);
     }
     co_await WaitForRoom(aExchange, until);
@@ -202,6 +203,26 @@
                                   load.mSlots);
 }
 
+// "server:in-flight+others/slots:report-age-ms" for each server that had no room, or that
+// was left out although it had ("free").
+void DirectPlacement::NoteRefusal(Exchange& aExchange, const decide::Wish& aWish) const
+{
+  using std::chrono::milliseconds;
+  for (const decide::HolderState& state : mCore.mFleet.Explain(aWish, mCore.Now())) {
+    const decide::Registration& registration = state.mServer->mRegistration;
+    aExchange.mRefusedBy +=
+      fmt::format("{}{}@{}:{}+{:.1f}/{}:{}{}",
+                  aExchange.mRefusedBy.empty() ? "" : ",",
+                  registration.mId,
+                  registration.mDataCentre,
+                  state.mInFlight,
+                  state.mOthers,
+                  registration.mSlots,
+                  std::chrono::duration_cast<milliseconds>(state.mReportAge).count(),
+                  state.mHasRoom ? ":free" : "");
+  }
+}
+
 bool DirectPlacement::MayTryAgain(const Exchange& aExchange,
                                   const Tries& aTries,
                                   Result aCode)
--- a/src/entry/direct.h
+++ b/src/entry/direct.h
@@ -55,6 +55,7 @@
                 const decide::Server& aServer,
                 Instant aSent,
                 const ServerAnswer& aAnswer) const;
+  void NoteRefusal(Exchange& aExchange, const decide::Wish& aWish) const;
   void Ended(const decide::ServerPtr& aServer, decide::SendResult aResult);
   bool MayTryAgain(const Exchange& aExchange, const Tries& aTries, Result aCode);
   decide::Wish WishOf(const Exchange& aExchange, const Tries& aTries) const;
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -42,10 +42,12 @@
   decide::ServiceId mService;
   decide::OrganisationId mOrganisation;
   std::string mOrganisationName; // set instead of a key on requests from peers
+  decide::BudgetId mPaidFrom;    // a token of it was taken for this request
   Instant mArrival{};
   Instant mDeadline{};
   CallerLink* mCaller = nullptr; // none on requests from peers
   std::string mSends;            // each send and how it ended, for the log
+  std::string mRefusedBy;        // the servers that had no room at a refusal, for the log
 
   const decide::Route& RouteInForce() const { return mConfig->mRoutes[mRoute.At()]; }
   const std::string& ServiceName() const
--- a/src/entry/pipeline.cc
+++ b/src/entry/pipeline.cc
@@ -73,12 +73,25 @@
     }
     outcome = co_await Place(aExchange);
   } catch (const RequestError& error) {
+    if (base::Row(error.Code()).mRan == base::Ran::No) {
+      TakeBackPayment(aExchange);
+    }
     Refuse(aExchange, error.Code(), outcome);
   }
   Record(aExchange, outcome);
   co_return outcome;
 }
 
+// A request that did not run leaves its organisation's limit to others. Otherwise callers
+// who are refused for want of room and ask again would use the limit up without an
+// answer.
+void Pipeline::TakeBackPayment(const Exchange& aExchange)
+{
+  if (!aExchange.mPaidFrom.IsNone() && aExchange.mConfig == mCore.Config()) {
+    mCore.mShares.Return(aExchange.mPaidFrom, decide::kToken, mCore.Now());
+  }
+}
+
 void Pipeline::Refuse(const Exchange& aExchange, Result aCode, Outcome& aOutcome)
 {
   aOutcome.mResult = aCode;
@@ -98,7 +111,7 @@
     spdlog::level::info,
     base::Event::RequestEnded,
     "request={} service={} organisation={} object={} result={} status={} took_ms={} "
-    "sends={}",
+    "sends={} no_room={}",
     aExchange.mRequestId,
     service,
     aExchange.OrganisationOr("-"),
@@ -106,7 +119,8 @@
     base::Row(aOutcome.mResult).mName,
     aOutcome.mStatus,
     std::chrono::duration_cast<std::chrono::milliseconds>(took).count(),
-    aExchange.mSends);
+    aExchange.mSends,
+    aExchange.mRefusedBy);
 }
 
 decide::OrganisationId Pipeline::Identify(const std::string& aKey) const
@@ -199,6 +213,7 @@
     Resolve(aExchange);
     budget = BudgetOf(aExchange);
   }
+  aExchange.mPaidFrom = budget;
 }
 
 Awaitable<Outcome> Pipeline::Place(Exchange& aExchange)
--- a/src/entry/pipeline.h
+++ b/src/entry/pipeline.h
@@ -79,6 +79,7 @@
                                         bool aOrder);
   Awaitable<bool> PayForRegion(const Exchange& aExchange, const std::string& aAddress);
   void Authenticate(Exchange& aExchange) const;
+  void TakeBackPayment(const Exchange& aExchange);
   void Refuse(const Exchange& aExchange, Result aCode, decide::Outcome& aOutcome);
   void Record(const Exchange& aExchange, const decide::Outcome& aOutcome);
 
--- a/tests/unit/decide.cc
+++ b/tests/unit/decide.cc
@@ -111,6 +111,16 @@
 
 } // namespace
 
+TEST_CASE("tokens that are put back can be taken again, within the burst")
+{
+  Bucket bucket;
+  bucket.SetRate({ 10 * kToken, 5 * kToken }, kStart);
+  bucket.Put(3 * kToken, kStart);
+  CHECK(bucket.Level(kStart) == 3 * kToken);
+  bucket.Put(3 * kToken, kStart);
+  CHECK(bucket.Level(kStart) == 5 * kToken);
+}
+
 TEST_CASE("a bucket starts empty and admits burst plus rate")
 {
   Bucket bucket;
--- a/tests/unit/entry.cc
+++ b/tests/unit/entry.cc
@@ -53,6 +53,17 @@
     mClock.Advance(kHolderWait);
   }
 
+  // Makes the instance hold shares, with buckets that had time to fill.
+  void HoldShares()
+  {
+    mCore.mShares.Observe({}, mClock.Now());
+    mClock.Advance(decide::kNewcomerWait);
+    mCore.mShares.Observe({}, mClock.Now());
+    REQUIRE(mCore.mShares.Plan(mClock.Now()));
+    mCore.mShares.Committed(mClock.Now());
+    mClock.Advance(2s);
+  }
+
   Result ResultOf(const std::string& aMethod,
                   const std::string& aTarget,
                   const std::string& aKey,
@@ -139,6 +150,23 @@
   CHECK(fixture.ResultOf("GET", "/open", "") == Result::NotReady);
 }
 
+// Pattern: callers are refused for want of room and ask again at once.
+TEST_CASE("requests that did not run do not use up their organisation's limit")
+{
+  Fixture fixture;
+  fixture.HoldShares();
+  decide::BudgetId budget = fixture.mCore.Config()->mOrganisations[1].mBudget;
+  Instant now = fixture.mClock.Now();
+  auto burst = fixture.mCore.mShares.InForce(budget, now).mBurst / decide::kToken;
+  REQUIRE(burst >= 2);
+  for (int i = 0; i < burst; ++i) {
+    CHECK(fixture.ResultOf("GET", "/s/x", "lenient key") == Result::NoBackendServer);
+  }
+  for (int i = 0; i < burst; ++i) {
+    CHECK(fixture.mCore.mShares.Spend(budget, decide::kToken, now));
+  }
+}
+
 TEST_CASE("a leaving instance issues no tickets")
 {
   Fixture fixture;
