Load reports fade with the time that a server's answers take

Change: half lives are 1 and 8 times the smoothed time of the server's answers. The test fails without the change: both beliefs faded alike.

--- a/src/decide/fleet.cc
+++ b/src/decide/fleet.cc
@@ -11,10 +11,16 @@
 
 using Seconds = std::chrono::duration<double>;
 
-// A load report differs from the mean by half as much after this time.
-constexpr Seconds kReportHalfLife{ 0.25 };
-// The mean of the reports counts half after this time without one.
-constexpr Seconds kMeanHalfLife{ 2.0 };
+// How long a load report counts, in times that the server's answers take: others'
+// requests end and begin anew about as often as the own ones. A report differs from the
+// mean by half as much after the first time; the mean counts half after the second
+// without one.
+constexpr double kReportHalfLives = 1;
+constexpr double kMeanHalfLives = 8;
+constexpr Seconds kShortestTook{ 0.1 };
+constexpr Seconds kUnknownTook{ 0.25 };
+// Weight of the newest answer in a server's time of answers.
+constexpr double kTookSmoothing = 0.1;
 // Weight of the newest report in the mean.
 constexpr double kReportSmoothing = 0.2;
 // A server answers fast about an object for at least this long.
@@ -62,9 +68,11 @@
 double OthersNow(const Server& aServer, Instant aNow)
 {
   Seconds age = aNow - aServer.mReportedAt;
-  double mean = aServer.mOthersMean * std::exp2(-(age / kMeanHalfLife));
+  Seconds took = aServer.mTook > Duration::zero() ? aServer.mTook : kUnknownTook;
+  double times = age / std::max(took, kShortestTook);
+  double mean = aServer.mOthersMean * std::exp2(-times / kMeanHalfLives);
   double excess = aServer.mOthers - aServer.mOthersMean;
-  return std::max(0.0, mean + excess * std::exp2(-(age / kReportHalfLife)));
+  return std::max(0.0, mean + excess * std::exp2(-times / kReportHalfLives));
 }
 
 Duration KeepLapsed(std::optional<Instant> aOutageEnd, Instant aNow)
@@ -294,8 +302,15 @@
   return states;
 }
 
-void Fleet::Report(const ServerPtr& aServer, const LoadReport& aLoad, Instant aNow)
+void Fleet::Report(const ServerPtr& aServer,
+                   const LoadReport& aLoad,
+                   Duration aTook,
+                   Instant aNow)
 {
+  Duration& took = aServer->mTook;
+  Seconds change = kTookSmoothing * Seconds(aTook - took);
+  took =
+    took > Duration::zero() ? took + std::chrono::duration_cast<Duration>(change) : aTook;
   double total = double(aLoad.mRunning) + aLoad.mWaiting;
   // The answered request itself has left the server's count by now.
   double own = aServer->mInFlight > 0 ? aServer->mInFlight - 1 : 0;
--- a/src/decide/fleet.h
+++ b/src/decide/fleet.h
@@ -73,6 +73,7 @@
   double mOthersMean = 0; // smoothed over reports
   double mFaultShare = 0; // smoothed share of requests that went wrong
   unsigned mFaultsInRow = 0;
+  Duration mTook{};       // smoothed time of its answers; zero: none came yet
   unsigned mInFlight = 0; // of this instance
   Bucket mColdPace;
   // When this instance last sent a request about an object, by the object's hash.
@@ -151,8 +152,12 @@
   // What a choice would decide by now, best server first.
   std::vector<HolderState> Explain(const Wish& aWish, Instant aNow);
   void Ended(const ServerPtr& aServer, SendResult aResult, Instant aNow);
-  // Takes note of a load report that came with an answer. Called before Ended.
-  void Report(const ServerPtr& aServer, const LoadReport& aLoad, Instant aNow);
+  // Takes note of a load report that came with an answer after aTook. Called before
+  // Ended.
+  void Report(const ServerPtr& aServer,
+              const LoadReport& aLoad,
+              Duration aTook,
+              Instant aNow);
 
   const std::map<std::string, ServerPtr>& Servers() const { return mServers; }
 
--- a/src/entry/direct.cc
+++ b/src/entry/direct.cc
@@ -169,7 +169,7 @@
     throw RequestError(*failure);
   }
   if (answer.mLoad) {
-    mCore.mFleet.Report(aServer, *answer.mLoad, mCore.Now());
+    mCore.mFleet.Report(aServer, *answer.mLoad, mCore.Now() - sent, mCore.Now());
   }
   Verdict verdict = Judge(answer);
   Ended(aServer, verdict.mResult);
--- a/tests/unit/decide_fleet.cc
+++ b/tests/unit/decide_fleet.cc
@@ -291,7 +291,7 @@
   Wish wish = Fixture::WishFor("17");
   ServerPtr server = there.Choose(wish);
   for (int i = 0; i < 20; ++i) {
-    there.mFleet.Report(server, { 4, 1, 4 }, there.mNow);
+    there.mFleet.Report(server, { 4, 1, 4 }, 250ms, there.mNow);
   }
   there.mFleet.Ended(server, SendResult::Answered, there.mNow);
   CHECK_FALSE(there.Choose(wish));
@@ -299,6 +299,22 @@
   CHECK(there.Choose(wish) == server);
 }
 
+// Pattern: answers take seconds, so reports are rare. When they faded faster than
+// requests ended, many instances together filled the servers' queues.
+TEST_CASE("a belief about other instances' load lasts as long as answers take")
+{
+  Fixture there;
+  there.AddServers("east-a", 2);
+  std::vector<ServerPtr> servers;
+  for (const auto& [id, server] : there.mFleet.Servers()) {
+    servers.push_back(server);
+  }
+  there.mFleet.Report(servers[0], { 4, 0, 4 }, 200ms, there.mNow);
+  there.mFleet.Report(servers[1], { 4, 0, 4 }, 2s, there.mNow);
+  CHECK(OthersNow(*servers[0], there.mNow + 1s) < 1);
+  CHECK(OthersNow(*servers[1], there.mNow + 1s) > 2);
+}
+
 TEST_CASE("draining, evacuated, foreign and replaced servers get nothing")
 {
   Fixture there;
