Doubt about a server expires; one that rejects requests though it has free slots is not paused

Change: rejected with free slots, by the report that came with it, is a fault but no pause; the doubt ends 3 s after the last fault. Both tests fail without the change.

--- a/src/decide/fleet.cc
+++ b/src/decide/fleet.cc
@@ -29,12 +29,15 @@
 constexpr std::size_t kMostKnown = 256;
 // Weight of the newest request in the share of faults.
 constexpr double kFaultSmoothing = 0.2;
-// A server with a larger share of faults is used only where no other has room.
+// A server with a larger share of faults is used only where no other has room, for this
+// long after the last fault. Then its objects return, and one more fault sends them away.
 constexpr double kDoubtful = 0.25;
+constexpr Duration kDoubtfulFor = std::chrono::seconds(3);
 // First pause of a server that could not be reached, doubled for each further fault.
 constexpr Duration kFirstPause = std::chrono::milliseconds(250);
 constexpr unsigned kMostDoublings = 4;
-// Pause of a server that had no room: a few answers' time.
+// Pause of a server that is full: a few answers' time. One that rejects requests though
+// it has free slots is not paused, since the next one may pass.
 constexpr Duration kFullPause = std::chrono::milliseconds(60);
 // Part of the accepted pace at which a cold server is filled. Two instances may take
 // themselves for its owner for a moment, which together stay under the pace's excess.
@@ -162,7 +165,7 @@
   return sameRegion ? Reach::OwnRegion : Reach::Elsewhere;
 }
 
-Fleet::Holding Fleet::HoldingOf(const Wish& aWish) const
+Fleet::Holding Fleet::HoldingOf(const Wish& aWish, Instant aNow) const
 {
   std::vector<ServerPtr> servers;
   std::vector<PlacedServer> placed;
@@ -175,7 +178,7 @@
                          server->mDataCentre,
                          region,
                          double(server->mRegistration.mSlots),
-                         server->mFaultShare > kDoubtful });
+                         aNow < server->mDoubtfulUntil });
       servers.push_back(server);
     }
   }
@@ -194,13 +197,18 @@
   return aNow < aServer.mColdUntil && pace > 0;
 }
 
+bool Fleet::HasFreeSlot(const Server& aServer, Instant aNow)
+{
+  double load = aServer.mInFlight + OthersNow(aServer, aNow);
+  return load + 1 <= double(aServer.mRegistration.mSlots) + kOverfill;
+}
+
 bool Fleet::HasRoom(Server& aServer, Instant aNow) const
 {
   if (aNow < aServer.mPausedUntil) {
     return false;
   }
-  double load = aServer.mInFlight + OthersNow(aServer, aNow);
-  if (load + 1 > double(aServer.mRegistration.mSlots) + kOverfill) {
+  if (!HasFreeSlot(aServer, aNow)) {
     return false;
   }
   if (!Paces(aServer, aNow)) {
@@ -273,7 +281,7 @@
   if (!mConfig) {
     return {};
   }
-  Holding holding = HoldingOf(aWish);
+  Holding holding = HoldingOf(aWish, aNow);
   const Holder* picked = Pick(holding, aWish, aNow);
   if (!picked) {
     return { nullptr, holding.mHolders.empty() ? NoChoice::None : NoChoice::Full };
@@ -290,7 +298,7 @@
 {
   std::vector<HolderState> states;
   std::uint64_t object = HashOf(aWish.mObject);
-  for (const Holder& holder : HoldingOf(aWish).mHolders) {
+  for (const Holder& holder : HoldingOf(aWish, aNow).mHolders) {
     Server& server = *holder.mServer;
     states.push_back({ holder.mServer,
                        server.mInFlight,
@@ -329,12 +337,17 @@
   bool fault = aResult != SendResult::Answered;
   server.mFaultShare += kFaultSmoothing * ((fault ? 1.0 : 0.0) - server.mFaultShare);
   server.mFaultsInRow = fault ? server.mFaultsInRow + 1 : 0;
+  if (fault && server.mFaultShare > kDoubtful) {
+    server.mDoubtfulUntil = aNow + kDoubtfulFor;
+  }
   switch (aResult) {
     case SendResult::Gone:
       server.mGone = true;
       break;
     case SendResult::Full:
-      server.mPausedUntil = aNow + kFullPause;
+      if (!HasFreeSlot(server, aNow)) {
+        server.mPausedUntil = aNow + kFullPause;
+      }
       break;
     case SendResult::Refused:
     case SendResult::Lost:
--- a/src/decide/fleet.h
+++ b/src/decide/fleet.h
@@ -73,8 +73,9 @@
   double mOthersMean = 0; // smoothed over reports
   double mFaultShare = 0; // smoothed share of requests that went wrong
   unsigned mFaultsInRow = 0;
-  Duration mTook{};       // smoothed time of its answers; zero: none came yet
-  unsigned mInFlight = 0; // of this instance
+  Instant mDoubtfulUntil{}; // it failed often; others go first
+  Duration mTook{};         // smoothed time of its answers; zero: none came yet
+  unsigned mInFlight = 0;   // of this instance
   Bucket mColdPace;
   // When this instance last sent a request about an object, by the object's hash.
   std::unordered_map<std::uint64_t, Instant> mKnows;
@@ -171,6 +172,7 @@
 
   void Resolve(Server& aServer) const;
   bool MayServe(const Server& aServer, const Wish& aWish) const;
+  static bool HasFreeSlot(const Server& aServer, Instant aNow);
   bool HasRoom(Server& aServer, Instant aNow) const;
   void TakePace(Server& aServer, Instant aNow) const;
   static bool Knows(const Server& aServer, std::uint64_t aObject, Instant aNow);
@@ -186,7 +188,7 @@
 
   const Holder* Pick(const Holding& aHolding, const Wish& aWish, Instant aNow);
   Reach ReachOf(const Server& aServer) const;
-  Holding HoldingOf(const Wish& aWish) const;
+  Holding HoldingOf(const Wish& aWish, Instant aNow) const;
 
   std::string mOwnName;
   const Members& mMembers;
--- a/tests/unit/decide_fleet.cc
+++ b/tests/unit/decide_fleet.cc
@@ -385,6 +385,38 @@
   CHECK(there.Choose(wish) != first);
 }
 
+// Pattern: servers that were slow to answer or rejected requests for some seconds got
+// nothing for the rest of the day.
+TEST_CASE("a server that failed gets its objects back after a while")
+{
+  Fixture there;
+  there.AddServers("east-a", 2);
+  Wish wish = Fixture::WishFor("17");
+  ServerPtr first = there.Choose(wish);
+  for (int i = 0; i < 5; ++i) {
+    ++first->mInFlight;
+    there.mFleet.Ended(first, SendResult::Failed, there.mNow);
+  }
+  CHECK(there.Choose(wish) != first);
+  there.mNow += 4s;
+  CHECK(there.Choose(wish) == first);
+}
+
+// Pattern: all servers of a service reject half of their requests at once, idle or not.
+TEST_CASE("a server that rejects a request although it has free slots is not paused")
+{
+  Fixture there;
+  there.AddServers("east-a", 1);
+  Wish wish = Fixture::WishFor("17");
+  ServerPtr server = there.Choose(wish);
+  there.mFleet.Report(server, { 0, 0, 4 }, 1ms, there.mNow);
+  there.mFleet.Ended(server, SendResult::Full, there.mNow);
+  CHECK(there.Choose(wish) == server);
+  there.mFleet.Report(server, { 6, 2, 4 }, 1ms, there.mNow);
+  there.mFleet.Ended(server, SendResult::Full, there.mNow);
+  CHECK_FALSE(there.Choose(wish));
+}
+
 // Pattern: at the start all servers are slow, and a third of a region's traffic left it
 // within two seconds.
 TEST_CASE("the part of the traffic that leaves a region changes slowly, both ways")
