--- a/src/decide/fleet.cc
+++ b/src/decide/fleet.cc
@@ -21,14 +21,6 @@
 constexpr Seconds kUnknownTook{ 0.25 };
 // Weight of the newest answer in a server's time of answers.
 constexpr double kTookSmoothing = 0.1;
-// The same for the time of its faster answers, by whether the newest took more or less.
-constexpr double kFastRise = 0.1;
-constexpr double kFastFall = 0.5;
-// A server is slow if its faster answers take this many times as long as is usual in its
-// service. Answers about objects that a server does not know take three times as long.
-constexpr double kSlowTimes = 2.5;
-// With fewer servers that answered, nothing is usual.
-constexpr std::size_t kFewestToCompare = 3;
 // Weight of the newest report in the mean.
 constexpr double kReportSmoothing = 0.2;
 // A server answers fast about an object for at least this long.
@@ -38,8 +30,7 @@
 // Weight of the newest request in the share of faults.
 constexpr double kFaultSmoothing = 0.2;
 // A server with a larger share of faults is used only where no other has room, for this
-// long after the last fault or slow answer. Then its objects return, and one more sends
-// them away.
+// long after the last fault. Then its objects return, and one more fault sends them away.
 constexpr double kDoubtful = 0.25;
 constexpr Duration kDoubtfulFor = std::chrono::seconds(3);
 // First pause of a server that could not be reached, doubled for each further fault.
@@ -69,14 +60,6 @@
   return aRegions.empty() || std::ranges::find(aRegions, aRegion) != aRegions.end();
 }
 
-// Zero: there is no mean yet.
-void Smooth(Duration& aMean, Duration aNewest, double aWeight)
-{
-  Seconds change = aWeight * Seconds(aNewest - aMean);
-  bool first = aMean == Duration::zero();
-  aMean = first ? aNewest : aMean + std::chrono::duration_cast<Duration>(change);
-}
-
 Rate ColdRate(double aPerSecond)
 {
   return { static_cast<MicroTokens>(aPerSecond * kColdPart * double(kToken)),
@@ -214,24 +197,6 @@
   return aNow < aServer.mColdUntil && pace > 0;
 }
 
-// Compared with the median of its service's servers, so that a service that turned slow
-// as a whole keeps its servers.
-bool Fleet::IsSlow(const Server& aServer) const
-{
-  std::vector<Duration> times;
-  for (const auto& [id, server] : mServers) {
-    if (server->mService == aServer.mService && server->mFastTook > Duration::zero()) {
-      times.push_back(server->mFastTook);
-    }
-  }
-  if (times.size() < kFewestToCompare) {
-    return false;
-  }
-  auto middle = times.begin() + std::ptrdiff_t(times.size() / 2);
-  std::ranges::nth_element(times, middle);
-  return Seconds(aServer.mFastTook) > kSlowTimes * Seconds(*middle);
-}
-
 bool Fleet::HasFreeSlot(const Server& aServer, Instant aNow)
 {
   double load = aServer.mInFlight + OthersNow(aServer, aNow);
@@ -350,11 +315,10 @@
                    Duration aTook,
                    Instant aNow)
 {
-  Smooth(aServer->mTook, aTook, kTookSmoothing);
-  Smooth(aServer->mFastTook, aTook, aTook < aServer->mFastTook ? kFastFall : kFastRise);
-  if (aLoad.mWaiting == 0 && IsSlow(*aServer)) {
-    aServer->mDoubtfulUntil = aNow + kDoubtfulFor;
-  }
+  Duration& took = aServer->mTook;
+  Seconds change = kTookSmoothing * Seconds(aTook - took);
+  took =
+    took > Duration::zero() ? took + std::chrono::duration_cast<Duration>(change) : aTook;
   double total = double(aLoad.mRunning) + aLoad.mWaiting;
   // The answered request itself has left the server's count by now.
   double own = aServer->mInFlight > 0 ? aServer->mInFlight - 1 : 0;
--- a/src/decide/fleet.h
+++ b/src/decide/fleet.h
@@ -75,7 +75,6 @@
   unsigned mFaultsInRow = 0;
   Instant mDoubtfulUntil{}; // it failed often; others go first
   Duration mTook{};         // smoothed time of its answers; zero: none came yet
-  Duration mFastTook{};     // the same of its faster answers, about objects that it knows
   unsigned mInFlight = 0;   // of this instance
   Bucket mColdPace;
   // When this instance last sent a request about an object, by the object's hash.
@@ -173,7 +172,6 @@
 
   void Resolve(Server& aServer) const;
   bool MayServe(const Server& aServer, const Wish& aWish) const;
-  bool IsSlow(const Server& aServer) const;
   static bool HasFreeSlot(const Server& aServer, Instant aNow);
   bool HasRoom(Server& aServer, Instant aNow) const;
   void TakePace(Server& aServer, Instant aNow) const;
