A refusal's log line says when no report had come; a test explains a refusal

Left by the read of the diff: the age of a report that never came was printed as the age of the clock, and two tests repeated a loop. No decision changed.

--- a/src/decide/fleet.cc
+++ b/src/decide/fleet.cc
@@ -300,10 +300,14 @@
   std::uint64_t object = HashOf(aWish.mObject);
   for (const Holder& holder : HoldingOf(aWish, aNow).mHolders) {
     Server& server = *holder.mServer;
+    std::optional<Duration> age;
+    if (server.mReportedAt != Instant()) {
+      age = aNow - server.mReportedAt;
+    }
     states.push_back({ holder.mServer,
                        server.mInFlight,
                        OthersNow(server, aNow),
-                       aNow - server.mReportedAt,
+                       age,
                        Knows(server, object, aNow),
                        HasRoom(server, aNow) });
   }
--- a/src/decide/fleet.h
+++ b/src/decide/fleet.h
@@ -115,10 +115,10 @@
 struct HolderState
 {
   ServerPtr mServer;
-  unsigned mInFlight = 0; // of this instance
-  double mOthers = 0;     // believed of other instances
-  Duration mReportAge{};  // of the belief
-  bool mKnows = false;    // was sent a request about the object lately
+  unsigned mInFlight = 0;             // of this instance
+  double mOthers = 0;                 // believed of other instances
+  std::optional<Duration> mReportAge; // of the belief; nothing: no report came yet
+  bool mKnows = false;                // was sent a request about the object lately
   bool mHasRoom = false;
 };
 
--- a/src/entry/direct.cc
+++ b/src/entry/direct.cc
@@ -203,23 +203,27 @@
                                   load.mSlots);
 }
 
-// "server:in-flight+others/slots:report-age-ms" for each server that had no room, or that
-// was left out although it had ("free").
+// "server@data-centre:in-flight+others/slots:report-age-ms" for each server that had no
+// room, or that was left out although it had (":free"). "-" if no report came yet.
 void DirectPlacement::NoteRefusal(Exchange& aExchange, const decide::Wish& aWish) const
 {
   using std::chrono::milliseconds;
   for (const decide::HolderState& state : mCore.mFleet.Explain(aWish, mCore.Now())) {
     const decide::Registration& registration = state.mServer->mRegistration;
-    aExchange.mRefusedBy +=
-      fmt::format("{}{}@{}:{}+{:.1f}/{}:{}{}",
-                  aExchange.mRefusedBy.empty() ? "" : ",",
-                  registration.mId,
-                  registration.mDataCentre,
-                  state.mInFlight,
-                  state.mOthers,
-                  registration.mSlots,
-                  std::chrono::duration_cast<milliseconds>(state.mReportAge).count(),
-                  state.mHasRoom ? ":free" : "");
+    std::string age = "-";
+    if (state.mReportAge) {
+      age = std::to_string(
+        std::chrono::duration_cast<milliseconds>(*state.mReportAge).count());
+    }
+    aExchange.mRefusedBy += fmt::format("{}{}@{}:{}+{:.1f}/{}:{}{}",
+                                        aExchange.mRefusedBy.empty() ? "" : ",",
+                                        registration.mId,
+                                        registration.mDataCentre,
+                                        state.mInFlight,
+                                        state.mOthers,
+                                        registration.mSlots,
+                                        age,
+                                        state.mHasRoom ? ":free" : "");
   }
 }
 
--- a/tests/unit/decide_fleet.cc
+++ b/tests/unit/decide_fleet.cc
@@ -83,6 +83,14 @@
     return wish;
   }
 
+  void FailOften(const ServerPtr& aServer)
+  {
+    for (int i = 0; i < 5; ++i) {
+      ++aServer->mInFlight;
+      mFleet.Ended(aServer, SendResult::Failed, mNow);
+    }
+  }
+
   ServerPtr Choose(const Wish& aWish) { return mFleet.Choose(aWish, mNow).mServer; }
 };
 
@@ -378,10 +386,7 @@
   there.AddServers("east-a", 2);
   Wish wish = Fixture::WishFor("17");
   ServerPtr first = there.Choose(wish);
-  for (int i = 0; i < 5; ++i) {
-    ++first->mInFlight;
-    there.mFleet.Ended(first, SendResult::Failed, there.mNow);
-  }
+  there.FailOften(first);
   CHECK(there.Choose(wish) != first);
 }
 
@@ -393,10 +398,7 @@
   there.AddServers("east-a", 2);
   Wish wish = Fixture::WishFor("17");
   ServerPtr first = there.Choose(wish);
-  for (int i = 0; i < 5; ++i) {
-    ++first->mInFlight;
-    there.mFleet.Ended(first, SendResult::Failed, there.mNow);
-  }
+  there.FailOften(first);
   CHECK(there.Choose(wish) != first);
   there.mNow += 4s;
   CHECK(there.Choose(wish) == first);
@@ -417,6 +419,27 @@
   CHECK_FALSE(there.Choose(wish));
 }
 
+TEST_CASE("a refusal can be explained by what was believed of the object's servers")
+{
+  Fixture there;
+  there.AddServers("east-a", 2);
+  Wish wish = Fixture::WishFor("17");
+  ServerPtr first = there.Choose(wish);
+  there.mFleet.Report(first, { 5, 0, 4 }, 100ms, there.mNow);
+  there.mNow += 20ms;
+  CHECK_FALSE(there.Choose(wish));
+  std::vector<HolderState> states = there.mFleet.Explain(wish, there.mNow);
+  REQUIRE(states.size() == 2);
+  CHECK(states[0].mServer == first);
+  CHECK(states[0].mInFlight == 1);
+  CHECK(states[0].mOthers > 3);
+  CHECK(states[0].mReportAge == Duration(20ms));
+  CHECK(states[0].mKnows);
+  CHECK_FALSE(states[0].mHasRoom);
+  CHECK_FALSE(states[1].mReportAge.has_value());
+  CHECK(states[1].mHasRoom); // left out: it does not know the object yet
+}
+
 // Pattern: at the start all servers are slow, and a third of a region's traffic left it
 // within two seconds.
 TEST_CASE("the part of the traffic that leaves a region changes slowly, both ways")
