--- a/src/decide/rank.cc
+++ b/src/decide/rank.cc
@@ -164,10 +164,11 @@
     AddFirst(holders, home, aObject, BySlots);
   }
   if (Draw(aObject, kHomePartSalt) >= HomePart(aServers)) {
-    std::ranges::stable_partition(holders, IsFar);
+    std::stable_partition(holders.begin(), holders.end(), IsFar);
   }
-  std::ranges::stable_partition(
-    holders, [](const PlacedServer& aServer) { return !aServer.mDoubtful; });
+  std::stable_partition(holders.begin(), holders.end(), [](const PlacedServer& aServer) {
+    return !aServer.mDoubtful;
+  });
   return holders;
 }
 
