A payment is not given back to another organisation

Cause, found by reading the change: a request that waited while the configuration changed is resolved again, and its payment was kept as an index of the configuration before. If it then did not run, the token went to whichever organisation had that index now, which could exceed its limit by that token. Change: resolving anew forgets the payment; the token is then lost, as when no share is held. The test fails without the change (1 check) and passes with it.

--- a/src/entry/pipeline.cc
+++ b/src/entry/pipeline.cc
@@ -148,6 +148,7 @@
     throw RequestError(Result::NotReady);
   }
   aExchange.mConfig = mCore.Config();
+  aExchange.mPaidFrom = {}; // an index of the configuration before
   std::string_view path =
     std::string_view(aExchange.mTarget).substr(0, aExchange.mTarget.find('?'));
   aExchange.mRoute = aExchange.mConfig->FindRoute(aExchange.mHost, path);
--- a/tests/unit/entry.cc
+++ b/tests/unit/entry.cc
@@ -167,6 +167,17 @@
   }
 }
 
+TEST_CASE("a payment is not given back to another organisation of a newer configuration")
+{
+  Fixture fixture;
+  Exchange exchange;
+  exchange.mMethod = "GET";
+  exchange.mTarget = "/open";
+  exchange.mPaidFrom = decide::BudgetId(0);
+  fixture.mPipeline.Resolve(exchange);
+  CHECK(exchange.mPaidFrom.IsNone());
+}
+
 TEST_CASE("a leaving instance issues no tickets")
 {
   Fixture fixture;
