--- a/src/decide/fleet.cc
+++ b/src/decide/fleet.cc
@@ -113,6 +113,7 @@
       server->mGone = true;
     }
     server = std::make_shared<Server>();
+    server->mKey = HashOf(aRegistration.mId);
   }
   server->mRegistration = aRegistration;
   server->mLapsed = false;
@@ -173,7 +174,7 @@
     if (MayServe(*server, aWish)) {
       RegionId region = mConfig->mDataCentres[server->mDataCentre.At()].mRegion;
       placed.push_back({ servers.size(),
-                         HashOf(id),
+                         server->mKey,
                          ReachOf(*server),
                          server->mDataCentre,
                          region,
--- a/src/decide/fleet.h
+++ b/src/decide/fleet.h
@@ -64,7 +64,8 @@
 struct Server
 {
   Registration mRegistration;
-  ServiceId mService; // none: not in the configuration in force
+  std::uint64_t mKey = 0; // hash of its name
+  ServiceId mService;     // none: not in the configuration in force
   DataCentreId mDataCentre;
   Instant mColdUntil{};
   Instant mPausedUntil{};
--- a/src/decide/rank.cc
+++ b/src/decide/rank.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <map>
 #include <set>
 
@@ -77,6 +78,11 @@
   return aServer.mSlots;
 }
 
+bool IsFar(const PlacedServer& aServer)
+{
+  return aServer.mReach == Reach::Elsewhere;
+}
+
 // The servers among which an object's home is chosen.
 Group HomeGroup(const Group& aServers)
 {
@@ -85,9 +91,7 @@
   if (own.size() >= kFewestForOwnCopy) {
     return own;
   }
-  return Those(aServers, [](const PlacedServer& aServer) {
-    return aServer.mReach != Reach::Elsewhere;
-  });
+  return Those(aServers, std::not_fn(IsFar));
 }
 
 // Servers of the region's other data centres that keep copies of their own.
@@ -103,11 +107,6 @@
   });
 }
 
-bool IsFar(const PlacedServer& aServer)
-{
-  return aServer.mReach == Reach::Elsewhere;
-}
-
 // Part of a server's room in each region that its own callers leave.
 class Spare
 {
