--- a/Makefile
+++ b/Makefile
@@ -1,22 +1,33 @@
 # Short names for the usual work; CMake does the building.
 BUILD ?= build
-PACKAGES = libboost1.81-dev libgrpc++-dev protobuf-compiler-grpc prometheus-cpp-dev libspdlog-dev \
-  doctest-dev nlohmann-json3-dev libtomlplusplus-dev libxxhash-dev librapidcheck-dev spin libssl-dev ninja-build cmake \
-  g++ gcc clang-format clang-tidy ccache curl netcat-openbsd python3 pkg-config
+# What the build needs stands in the deploy file; the rest is for tests.
+BUILD_PACKAGES = $(shell sed -n '/^packages = \[/,/^\]/p' deploy/system.toml | grep -o '"[^"]*"' | tr -d '"')
+TEST_PACKAGES = apt ccache clang-format clang-tidy curl doctest-dev gcc git librapidcheck-dev netcat-openbsd \
+  ninja-build python3 spin strace
+PACKAGES = $(BUILD_PACKAGES) $(TEST_PACKAGES)
 
 .PHONY: build install-packages demo test unit scenarios model explore process bench capacity asan \
-  tsan format check-format tidy
+  tsan format check-format tidy packages inventory
 
-# Installs only what is missing, so that it is safe to repeat and needs no network then.
+# Installs only what is missing, so that it is safe to repeat and needs no network then. Recommended packages
+# are left out, as on the users' machines.
 install-packages:
 	@missing=$$(for p in $(PACKAGES); do dpkg -s $$p >/dev/null 2>&1 || echo $$p; done); \
 	if [ -n "$$missing" ]; then echo "installing:" $$missing; \
-	  apt-get update -qq && apt-get install -y -qq $$missing >/dev/null; fi
+	  apt-get update -qq && apt-get install -y -qq --no-install-recommends $$missing >/dev/null; fi
 
 build: install-packages
 	@cmake -G Ninja -B $(BUILD) -DCMAKE_CXX_COMPILER_LAUNCHER=ccache $(CMAKE_FLAGS) >/dev/null
 	@cmake --build $(BUILD)
 
+# Whether the deploy file's build uses only what its packages bring to a clean machine.
+packages: install-packages
+	@python3 tests/packages/check.py
+
+# Each file that the build uses, tab-separated: package, direct or indirect, kind, path.
+inventory: install-packages
+	@python3 tests/packages/check.py --inventory
+
 demo: build
 	@BUILD=$(BUILD) tools/demo.sh
 
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -49,6 +49,8 @@
 echo "== format"
 check format make --no-print-directory check-format
 check names tools/names.sh
+echo "== packages of the build"
+checks python3 tests/packages/check.py
 echo "== unit tests"
 for program in "$BUILD"/tests/unit-*; do
   check "$(basename "$program")" "$program"
