A request whose caller has left before it was read is not sent on

Backend servers began requests that nobody waited for, 1.8 to 9 s after their callers had left.

Cause: an instance that was held up (frozen, or short of processor) reads a request and its caller's closing at one go. The watch for the closing is told by the event loop's next turn, but the request is handled in this one, without a pause, and is written to the server. The run was cut 1 ms later, when the watch fired. Ruled out: the cancelling itself, which worked in each of the traces.

Fix: the instance asks the connection itself, by a peek, when it is about to send. Test: a caller that writes a request and closes before the instance reads either; it failed before (the handler took the caller for present).

--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -16,9 +16,14 @@
 // The connection that a request came on, for as long as the request is served.
 struct CallerLink
 {
-  std::uint32_t mAddress = 0;    // IPv4, host byte order; 0 for others
-  bool mGone = false;            // the caller has closed it
-  std::function<void()> mOnGone; // called once when the caller closes it
+  std::uint32_t mAddress = 0;      // IPv4, host byte order; 0 for others
+  bool mGone = false;              // the caller's closing was noticed
+  std::function<void()> mOnGone;   // called once when it is noticed
+  std::function<bool()> mIsClosed; // looks at the connection itself
+
+  // Also true if the caller has closed the connection unnoticed so far: a process that
+  // was held up reads a request and its caller's closing at one go.
+  bool Gone() const { return mGone || (mIsClosed && mIsClosed()); }
 };
 
 // Carries no key beyond the pipeline's first filter.
@@ -59,7 +64,7 @@
     return mOrganisation.IsNone() ? aOtherwise
                                   : mConfig->mOrganisations[mOrganisation.At()].mName;
   }
-  bool CallerGone() const { return mCaller && mCaller->mGone; }
+  bool CallerGone() const { return mCaller && mCaller->Gone(); }
 };
 
 } // namespace vanillaloft::entry
--- a/src/entry/session.cc
+++ b/src/entry/session.cc
@@ -200,6 +200,7 @@
   auto remote = aStream.socket().remote_endpoint(error).address();
   auto link = std::make_shared<CallerLink>();
   link->mAddress = remote.is_v4() ? remote.to_v4().to_uint() : 0;
+  link->mIsClosed = [&aStream] { return HasClosed(aStream.socket()); };
   WatchForClosing(aStream.socket(), link);
   net::Response response;
   try {
--- a/tests/unit/entry.cc
+++ b/tests/unit/entry.cc
@@ -8,6 +8,7 @@
 #include "entry/dump.h"
 #include "entry/lookup.h"
 #include "entry/pipeline.h"
+#include "entry/session.h"
 
 using namespace vanillaloft;
 using namespace vanillaloft::entry;
@@ -90,6 +91,34 @@
   }
 }
 
+// Whether a request's handler sees its caller as gone, when the caller closed or did not
+// close the connection before the request was read.
+bool SeenAsGone(bool aCloses)
+{
+  namespace asio = boost::asio;
+  using Tcp = asio::ip::tcp;
+  Fixture fixture;
+  Tcp::endpoint anyPort(asio::ip::address_v4::loopback(), 0);
+  Tcp::endpoint at = Tcp::acceptor(fixture.mContext, anyPort).local_endpoint();
+  Listener listener(fixture.mCore, fixture.mFormat);
+  std::optional<bool> gone;
+  listener.Open({ "127.0.0.1", at.port() },
+                [&](net::Request, CallerLink& aLink) -> Awaitable<net::Response> {
+                  gone = aLink.Gone();
+                  co_return net::Response(boost::beast::http::status::ok, net::kHttp11);
+                });
+  Tcp::socket caller(fixture.mContext);
+  caller.connect(at);
+  asio::write(caller, asio::buffer(std::string("GET /s/x HTTP/1.1\r\n\r\n")));
+  if (aCloses) {
+    caller.close();
+  }
+  while (!gone) {
+    fixture.mContext.run_one();
+  }
+  return *gone;
+}
+
 } // namespace
 
 TEST_CASE("keys are refused as unconfirmed only where set, cut off and unconfirmed")
@@ -178,6 +207,13 @@
   CHECK(exchange.mPaidFrom.IsNone());
 }
 
+// Pattern: a process that was held up finds requests whose callers have left meanwhile.
+TEST_CASE("a caller that closed before its request was read is known to be gone")
+{
+  CHECK(SeenAsGone(true));
+  CHECK_FALSE(SeenAsGone(false));
+}
+
 TEST_CASE("a leaving instance issues no tickets")
 {
   Fixture fixture;
