Callers who may go anywhere leave a region that bound organisations fill

In the log, its two servers of each service met 44 to 70 objects, of which they remember 25 to 36, and answered in 660 to 1,770 ms instead of 300 to 950; callers from all three regions came to them, 538, 560 and 694 sends, while the region's unbound callers still kept a part of their objects there.

Change: the room of a region is what the organisations bound to it leave. Their part of the demand is estimated from their limits, which all instances know alike. HomePart and the room offered to other regions' objects follow; both are worked out once for a choice now (decide/rank.h, RegionRoom), not twice.

--- a/src/decide/fleet.cc
+++ b/src/decide/fleet.cc
@@ -90,6 +90,7 @@
 {
   mConfig = std::move(aConfig);
   mOwn = mConfig->FindDataCentre(mOwnName);
+  mBound = BoundPartsOf(*mConfig);
   for (auto& [id, server] : mServers) {
     Resolve(*server);
   }
@@ -183,9 +184,11 @@
       servers.push_back(server);
     }
   }
+  bool anywhere = aWish.mHomes.empty() && aWish.mMoreHomes.empty();
+  RegionRoom room(placed, anywhere ? mBound : BoundParts());
   Holding holding;
-  holding.mUsuallyFar = 1 - HomePart(placed);
-  for (const PlacedServer& holder : HoldersOf(HashOf(aWish.mObject), placed)) {
+  holding.mUsuallyFar = 1 - room.HomePart();
+  for (const PlacedServer& holder : HoldersOf(HashOf(aWish.mObject), placed, room)) {
     holding.mHolders.push_back({ holder.mReach, servers[holder.mIndex] });
   }
   return holding;
--- a/src/decide/fleet.h
+++ b/src/decide/fleet.h
@@ -194,6 +194,7 @@
   std::string mOwnName;
   const Members& mMembers;
   ConfigPtr mConfig;
+  BoundParts mBound; // of the configuration
   DataCentreId mOwn;
   std::map<std::string, ServerPtr> mServers; // by registered name
   std::set<std::string> mEvacuated;          // names of data centres
--- a/src/decide/rank.cc
+++ b/src/decide/rank.cc
@@ -4,7 +4,6 @@
 #include <cmath>
 #include <functional>
 #include <map>
-#include <set>
 
 #include <xxhash.h>
 
@@ -17,8 +16,8 @@
 constexpr std::size_t kFewestForOwnCopy = 2;
 // An object has at least this many servers, if there are so many in its region.
 constexpr std::size_t kFewestHolders = 2;
-// A region's own callers are taken to need this part of an even share of all servers.
-// Only the rest of its servers' room is offered to other regions.
+// A region's own callers are taken to need this part of an even share of all room. Only
+// the rest of its servers' room is offered to other regions.
 constexpr double kOwnNeed = 0.5;
 constexpr double kLeastSpare = 0.05;
 // Makes the draw for the home part independent of those for servers.
@@ -107,47 +106,46 @@
   });
 }
 
-// Part of a server's room in each region that its own callers leave.
-class Spare
-{
-public:
-  explicit Spare(const Group& aServers)
-  {
-    for (const PlacedServer& server : aServers) {
-      mAll += server.mSlots;
-      mByRegion[server.mRegion] += server.mSlots;
-    }
-  }
-
-  double operator()(const PlacedServer& aServer) const
-  {
-    double evenShare = mAll / double(mByRegion.size());
-    double spare = 1 - kOwnNeed * evenShare / mByRegion.at(aServer.mRegion);
-    return aServer.mSlots * std::max(kLeastSpare, spare);
-  }
-
-private:
-  double mAll = 0;
-  std::map<base::RegionId, double> mByRegion;
-};
-
 } // namespace
 
-double HomePart(const std::vector<PlacedServer>& aServers)
+RegionRoom::RegionRoom(const std::vector<PlacedServer>& aServers,
+                       const BoundParts& aBound)
 {
   double all = 0;
-  double own = 0;
-  std::set<base::RegionId> regions;
   for (const PlacedServer& server : aServers) {
+    Region& region = mRegions[server.mRegion];
+    region.mSlots += server.mSlots;
+    region.mOwn = region.mOwn || !IsFar(server);
     all += server.mSlots;
-    own += IsFar(server) ? 0 : server.mSlots;
-    regions.insert(server.mRegion);
   }
-  return all > 0 ? std::min(1.0, own * double(regions.size()) / all) : 1.0;
+  for (auto& [id, region] : mRegions) {
+    region.mFree = std::max(0.0, region.mSlots - aBound.Of(id) * all);
+  }
+  mNeed = (1 - aBound.Sum()) * all / double(std::max<std::size_t>(1, mRegions.size()));
+}
+
+double RegionRoom::HomePart() const
+{
+  if (mRegions.empty() || mNeed <= 0) {
+    return 1;
+  }
+  double own = 0;
+  for (const auto& [id, region] : mRegions) {
+    own += region.mOwn ? region.mFree : 0;
+  }
+  return std::min(1.0, own / mNeed);
+}
+
+double RegionRoom::Spare(const PlacedServer& aServer) const
+{
+  const Region& region = mRegions.at(aServer.mRegion);
+  double spare = (region.mFree - kOwnNeed * mNeed) / region.mSlots;
+  return aServer.mSlots * std::max(kLeastSpare, spare);
 }
 
 std::vector<PlacedServer> HoldersOf(std::uint64_t aObject,
-                                    const std::vector<PlacedServer>& aServers)
+                                    const std::vector<PlacedServer>& aServers,
+                                    const RegionRoom& aRoom)
 {
   Group home = HomeGroup(aServers);
   bool ownCopy = std::ranges::all_of(
@@ -158,11 +156,13 @@
   if (ownCopy) {
     AddFirst(holders, CopyGroup(aServers), aObject, BySlots);
   }
-  AddFirst(holders, far, aObject, Spare(aServers));
+  AddFirst(holders, far, aObject, [&](const PlacedServer& aServer) {
+    return aRoom.Spare(aServer);
+  });
   if (holders.size() < kFewestHolders) {
     AddFirst(holders, home, aObject, BySlots);
   }
-  if (Draw(aObject, kHomePartSalt) >= HomePart(aServers)) {
+  if (Draw(aObject, kHomePartSalt) >= aRoom.HomePart()) {
     std::stable_partition(holders.begin(), holders.end(), IsFar);
   }
   std::stable_partition(holders.begin(), holders.end(), [](const PlacedServer& aServer) {
--- a/src/decide/rank.h
+++ b/src/decide/rank.h
@@ -5,9 +5,11 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <vector>
 
 #include "base/types.h"
+#include "decide/bound.h"
 
 namespace vanillaloft::decide {
 
@@ -31,16 +33,38 @@
   bool mDoubtful = false; // fails often, used only where no other has room
 };
 
-// The part of its objects that the own region keeps: all, unless it has fewer slots than
-// regions have on average. The others live in other regions from the start, since a move
-// under load comes too late and is slow.
-double HomePart(const std::vector<PlacedServer>& aServers);
+// The room that regions have for requests that may be served anywhere.
+class RegionRoom
+{
+public:
+  explicit RegionRoom(const std::vector<PlacedServer>& aServers,
+                      const BoundParts& aBound = {});
+
+  // The part of its objects that the own region keeps: all, unless it has less room than
+  // regions need on average. The others live in other regions from the start, since a
+  // move under load comes too late and is slow.
+  double HomePart() const;
+  // The slots of a server that its region's own callers leave to those of other regions.
+  double Spare(const PlacedServer& aServer) const;
+
+private:
+  struct Region
+  {
+    double mSlots = 0;
+    double mFree = 0; // slots that no organisation bound to the region needs
+    bool mOwn = false;
+  };
+
+  std::map<base::RegionId, Region> mRegions;
+  double mNeed = 0; // slots that the unbound callers of one region need
+};
 
 // The servers that hold an object, best first: its home in the region, the copy that the
 // region's other data centre uses, and one in another region, which comes first for
 // objects that the region does not keep. Alike on all instances that see the same
 // servers; few objects move when a server comes or goes.
 std::vector<PlacedServer> HoldersOf(std::uint64_t aObject,
-                                    const std::vector<PlacedServer>& aServers);
+                                    const std::vector<PlacedServer>& aServers,
+                                    const RegionRoom& aRoom);
 
 } // namespace vanillaloft::decide
