An instance that is not ready sends heartbeats more often

Cause: an instance is ready once it has heard from a holder of shares. The first heartbeats of processes that start together meet closed ports, the second follows after 0.8 s, when the holder may not have its shares yet, the third after 1.6 s. Ruled out: the store, which answered all of them within 0.1 s of their start (event=2102), and the configuration.

Test: entry, "an instance that is not ready looks for a holder of shares more often"; the interval is a function of its own now, so the test did not build before.

--- a/src/daemon/loops.cc
+++ b/src/daemon/loops.cc
@@ -95,7 +95,7 @@
 {
   for (;;) {
     BeatAll();
-    co_await mCore.Sleep(mCore.mSettings.mBeatInterval);
+    co_await mCore.Sleep(mCore.BeatPause());
   }
 }
 
--- a/src/entry/core.cc
+++ b/src/entry/core.cc
@@ -115,6 +115,12 @@
   return !holders.empty() || Now() - mConfiguredAt >= kHolderWait;
 }
 
+Duration Core::BeatPause() const
+{
+  return IsReady() ? mSettings.mBeatInterval
+                   : std::min(mSettings.mBeatInterval, kSearchInterval);
+}
+
 void Core::Confirm(Duration aAge)
 {
   mConfirmedAt = std::max(mConfirmedAt, Now() - aAge);
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -54,6 +54,8 @@
 // An instance that knows no holder of shares waits this long before it serves all the
 // same, what needs no tokens.
 constexpr Duration kHolderWait = std::chrono::seconds(10);
+// Time between heartbeats of an instance that is not ready: it looks for such a holder.
+constexpr Duration kSearchInterval = std::chrono::milliseconds(250);
 
 // Settings of one instance, checked at its start.
 struct InstanceSettings
@@ -126,6 +128,8 @@
   // True once requests can be served: the configuration is in force and a holder of
   // shares is known, or none became known for kHolderWait.
   bool IsReady() const;
+  // Until the next heartbeats.
+  Duration BeatPause() const;
 
   // Retries that this instance may save up for a service.
   double RetryReserve() const;
--- a/tests/unit/entry.cc
+++ b/tests/unit/entry.cc
@@ -157,6 +157,20 @@
   CHECK(fresh.IsReady());
 }
 
+// Pattern: all instances start again together, and callers are refused until each has
+// heard a holder of shares.
+TEST_CASE("an instance that is not ready looks for a holder of shares more often")
+{
+  Fixture fixture;
+  CHECK(fixture.mCore.BeatPause() == decide::kBeatInterval);
+  entry::InstanceSettings settings = fixture.mCore.mSettings;
+  Core fresh(fixture.mContext, fixture.mClock, settings, { "127.0.0.1:2", 8 }, "x");
+  CHECK(fresh.BeatPause() == kSearchInterval);
+  settings.mBeatInterval = kSearchInterval / 2;
+  Core swift(fixture.mContext, fixture.mClock, settings, { "127.0.0.1:2", 9 }, "x");
+  CHECK(swift.BeatPause() == kSearchInterval / 2);
+}
+
 TEST_CASE("a withdrawn key is refused at the next request")
 {
   Fixture fixture;
