A test program that breaks off is not counted as passed

Cause: `checks` in tools/test.sh left the exit status of the program out of account and was content with any line it knew. The same holds for the models and the process tests.

Evidence: check.py's clean_machine with an empty list folder ends with CalledProcessError of apt-get. The function `checks`, taken out of the script, with a program that prints "ok one" and ends with 3: before, nothing failed; now it is counted as failed. Programs that print a failure, print nothing or pass are counted as before.

Change: a status other than 0 without a line FAILED is a failure. And `make test` fetches package lists where there are none.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 PACKAGES = $(BUILD_PACKAGES) $(TEST_PACKAGES)
 
 .PHONY: build install-packages demo test unit scenarios model explore process bench capacity asan \
-  tsan format check-format tidy packages inventory
+  tsan format check-format tidy packages package-lists inventory
 
 # Installs only what is missing, so that it is safe to repeat and needs no network then. Recommended packages
 # are left out, as on the users' machines.
@@ -20,18 +20,22 @@
 	@cmake -G Ninja -B $(BUILD) -DCMAKE_CXX_COMPILER_LAUNCHER=ccache $(CMAKE_FLAGS) >/dev/null
 	@cmake --build $(BUILD)
 
+# The check of the build's packages asks apt what a clean machine would get.
+package-lists:
+	@apt-get -s -o Dir::State::status=/dev/null install make >/dev/null 2>&1 || apt-get update -qq
+
 # Whether the deploy file's build uses only what its packages bring to a clean machine.
-packages: install-packages
+packages: install-packages package-lists
 	@python3 tests/packages/check.py
 
 # Each file that the build uses, tab-separated: package, direct or indirect, kind, path.
-inventory: install-packages
+inventory: install-packages package-lists
 	@python3 tests/packages/check.py --inventory
 
 demo: build
 	@BUILD=$(BUILD) tools/demo.sh
 
-test: build
+test: build package-lists
 	@BUILD=$(BUILD) tools/test.sh
 
 unit: build
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -32,15 +32,19 @@
   report "$name" $status
 }
 
-# Runs a program that prints "ok NAME" and "FAILED NAME" lines and counts each.
+# Runs a program that prints "ok NAME" and "FAILED NAME" lines and counts each. One that ends
+# with an error without naming a check that failed has failed itself.
 checks() { # COMMAND...
-  local word name
-  "$@" >"$RESULTS" 2>&1 || true
+  local word name status
+  "$@" >"$RESULTS" 2>&1
+  status=$?
   grep -vE '^(ok|FAILED) ' "$RESULTS" | tail -60
   while read -r word name; do
     report "$name" "$([ "$word" = ok ] && echo 0 || echo 1)"
   done < <(grep -E '^(ok|FAILED) ' "$RESULTS")
-  grep -qE '^(ok|FAILED) ' "$RESULTS" || report "$1" 1
+  if [ $status != 0 ] && ! grep -q '^FAILED ' "$RESULTS" || ! grep -qE '^(ok|FAILED) ' "$RESULTS"; then
+    report "$*" 1
+  fi
 }
 
 scenario() { "$BUILD/tests/scenarios" "$1"; }
