Simplified after a second reading: hashes, limits and apt's plans are worked out once

Behaviour stays as it is. Found by reading the whole change again:

- An object's hash was worked out three times for each choice of a server (HoldingOf, Pick, Choose); it stands in Holding now.
- bound.cc looked an organisation's limit up in two places; LimitOf serves both.
- tests/packages/check.py asked apt for the same plan of the compiler's packages, and dpkg for the essential ones, for each name taken from the list; both are kept.
The set of all used files, written three times, is Use.all().
- Two tests of doubtful servers set their server up by the same two lines; Fixture::ChooseAndFail does.
The rest that they share is what each checks, so they stay apart.

--- a/src/decide/bound.cc
+++ b/src/decide/bound.cc
@@ -6,14 +6,21 @@
 
 namespace {
 
-// Requests a second of the organisations that have a limit, on average; 1 if none has.
+// In micro-tokens a second; 0 for an organisation without a limit.
+double LimitOf(const Config& aConfig, const Organisation& aOrganisation)
+{
+  BudgetId budget = aOrganisation.mBudget;
+  return budget.IsNone() ? 0 : double(aConfig.mBudgets[budget.At()].mTotal.mPerSecond);
+}
+
+// Of the organisations that have a limit; 1 if none has.
 double MeanLimit(const Config& aConfig)
 {
   double sum = 0;
   double count = 0;
   for (const Organisation& organisation : aConfig.mOrganisations) {
     if (!organisation.mBudget.IsNone()) {
-      sum += double(aConfig.mBudgets[organisation.mBudget.At()].mTotal.mPerSecond);
+      sum += LimitOf(aConfig, organisation);
       ++count;
     }
   }
@@ -38,10 +45,8 @@
   double otherwise = MeanLimit(aConfig);
   double all = 0;
   for (const Organisation& organisation : aConfig.mOrganisations) {
-    BudgetId budget = organisation.mBudget;
-    double limit = budget.IsNone()
-                     ? otherwise
-                     : double(aConfig.mBudgets[budget.At()].mTotal.mPerSecond);
+    double limit =
+      organisation.mBudget.IsNone() ? otherwise : LimitOf(aConfig, organisation);
     all += limit;
     for (RegionId home : organisation.mHomes) {
       bound.mByRegion[home.At()] += limit / double(organisation.mHomes.size());
--- a/src/decide/fleet.cc
+++ b/src/decide/fleet.cc
@@ -187,8 +187,9 @@
   bool anywhere = aWish.mHomes.empty() && aWish.mMoreHomes.empty();
   RegionRoom room(placed, anywhere ? mBound : BoundParts());
   Holding holding;
+  holding.mObject = HashOf(aWish.mObject);
   holding.mUsuallyFar = 1 - room.HomePart();
-  for (const PlacedServer& holder : HoldersOf(HashOf(aWish.mObject), placed, room)) {
+  for (const PlacedServer& holder : HoldersOf(holding.mObject, placed, room)) {
     holding.mHolders.push_back({ holder.mReach, servers[holder.mIndex] });
   }
   return holding;
@@ -256,7 +257,6 @@
 // where it would move back too fast.
 const Fleet::Holder* Fleet::Pick(const Holding& aHolding, const Wish& aWish, Instant aNow)
 {
-  std::uint64_t object = HashOf(aWish.mObject);
   const Holder* near = nullptr; // best in the region
   const Holder* far = nullptr;  // best in other regions
   bool inRegion = false;
@@ -266,7 +266,7 @@
     const Holder*& best = leaves ? far : near;
     Server& server = *holder.mServer;
     bool welcome = &holder == &aHolding.mHolders.front() || aWish.mMaySpill ||
-                   Knows(server, object, aNow);
+                   Knows(server, aHolding.mObject, aNow);
     if (!best && welcome && HasRoom(server, aNow)) {
       best = &holder;
     }
@@ -293,7 +293,7 @@
   Server& server = *picked->mServer;
   ++server.mInFlight;
   TakePace(server, aNow);
-  Learn(server, HashOf(aWish.mObject), aNow);
+  Learn(server, holding.mObject, aNow);
   mRamp.Count(picked->mReach == Reach::Elsewhere, aNow);
   return { picked->mServer, NoChoice::None };
 }
@@ -301,8 +301,8 @@
 std::vector<HolderState> Fleet::Explain(const Wish& aWish, Instant aNow)
 {
   std::vector<HolderState> states;
-  std::uint64_t object = HashOf(aWish.mObject);
-  for (const Holder& holder : HoldingOf(aWish, aNow).mHolders) {
+  Holding holding = HoldingOf(aWish, aNow);
+  for (const Holder& holder : holding.mHolders) {
     Server& server = *holder.mServer;
     std::optional<Duration> age;
     if (server.mReportedAt != Instant()) {
@@ -312,7 +312,7 @@
                        server.mInFlight,
                        OthersNow(server, aNow),
                        age,
-                       Knows(server, object, aNow),
+                       Knows(server, holding.mObject, aNow),
                        HasRoom(server, aNow) });
   }
   return states;
--- a/src/decide/fleet.h
+++ b/src/decide/fleet.h
@@ -183,6 +183,7 @@
   // region as a rule.
   struct Holding
   {
+    std::uint64_t mObject = 0; // its hash
     std::vector<Holder> mHolders;
     double mUsuallyFar = 0;
   };
--- a/tests/packages/check.py
+++ b/tests/packages/check.py
@@ -5,6 +5,7 @@
 "FAILED NAME" for each check; with --inventory, every file of a package and what it is instead.
 """
 
+import functools
 import os
 import pathlib
 import re
@@ -16,6 +17,8 @@
 from dataclasses import dataclass, field
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
+# Its own headers, libraries and tools come with it.
+COMPILER = "g++"
 # What the build needs of the checkout.
 SOURCES = ["CMakeLists.txt", "deploy", "platform", "src"]
 UNPRIVILEGED = {"user": "nobody", "group": "nogroup", "extra_groups": []}
@@ -39,9 +42,12 @@
     # Files that were opened, or found by a look-up.
     touched: set[str] = field(default_factory=set)
     downloads: list[str] = field(default_factory=list)
-    # Files that our own sources, build files or command name.
+    # Files that our own sources, build files or command name, and what they are.
     direct: dict[str, str] = field(default_factory=dict)
 
+    def all(self) -> set[str]:
+        return self.executed | self.touched | set(self.direct)
+
 
 def run(command: list[str]) -> str:
     return subprocess.run(command, capture_output=True, text=True, check=True).stdout
@@ -154,13 +160,18 @@
     return {path: set().union(*(holders.get(name, set()) for name in chain)) for path, chain in chains.items()}
 
 
-def clean_machine(packages: list[str]) -> set[str]:
+@functools.cache
+def essential_packages() -> tuple[str, ...]:
+    listed = run(["dpkg-query", "-W", "-f", "${Essential} ${Package}\n"]).splitlines()
+    return tuple(line.split()[1] for line in listed if line.startswith("yes"))
+
+
+@functools.cache
+def clean_machine(*packages: str) -> frozenset[str]:
     """All packages of a machine that had none but the essential ones and got these, without recommended ones."""
-    essential = [line.split()[1] for line in
-                 run(["dpkg-query", "-W", "-f", "${Essential} ${Package}\n"]).splitlines() if line.startswith("yes")]
     plan = run(["apt-get", "-s", "-o", "Dir::State::status=/dev/null", "-o", "APT::Install-Recommends=0",
-                "-o", "APT::Install-Suggests=0", "install", *essential, *packages])
-    return {line.split()[1].split(":")[0] for line in plan.splitlines() if line.startswith("Inst ")}
+                "-o", "APT::Install-Suggests=0", "install", *essential_packages(), *packages])
+    return frozenset(line.split()[1].split(":")[0] for line in plan.splitlines() if line.startswith("Inst "))
 
 
 class Rules:
@@ -168,7 +179,7 @@
 
     def __init__(self, use: Use):
         self.use = use
-        self.owners = owners(use.executed | use.touched | set(use.direct))
+        self.owners = owners(use.all())
 
     def by_package(self, paths: set[str]) -> list[str]:
         """One complaint for each package that holds some of the paths."""
@@ -179,16 +190,16 @@
 
     def listed(self, packages: list[str]) -> list[str]:
         """Everything that is used comes with the list and its dependencies."""
-        there = clean_machine(packages)
+        there = clean_machine(*packages)
         return self.by_package({path for path in self.use.executed | self.use.touched
                                 if not self.owners[path] or not self.owners[path] <= there})
 
     def named(self, packages: list[str]) -> list[str]:
         """What our own sources and build files name is of a listed package, or the compiler's own."""
-        compilers = [name for name in packages if name == "g++"]
-        own = clean_machine(compilers) if compilers else set()
-        return self.by_package({path for path in self.use.direct
-                                if not self.owners[path] & (set(packages) | own)})
+        there = set(packages)
+        if COMPILER in packages:
+            there |= clean_machine(COMPILER)
+        return self.by_package({path for path in self.use.direct if not self.owners[path] & there})
 
     def needed(self, packages: list[str]) -> list[str]:
         """Each package of the list holds something that our own sources or build files name."""
@@ -211,7 +222,7 @@
 
 def print_inventory(rules: Rules) -> None:
     use = rules.use
-    for path in sorted(use.executed | use.touched | set(use.direct)):
+    for path in sorted(use.all()):
         kind = use.direct.get(path) or ("tool" if path in use.executed else "file")
         role = "direct" if path in use.direct else "indirect"
         print("\t".join([",".join(sorted(rules.owners[path])) or "-", role, kind, path]))
--- a/tests/unit/decide_fleet.cc
+++ b/tests/unit/decide_fleet.cc
@@ -60,12 +60,15 @@
     return wish;
   }
 
-  void FailOften(const ServerPtr& aServer)
+  // Chooses a server and lets it fail often.
+  ServerPtr ChooseAndFail(const Wish& aWish)
   {
+    ServerPtr server = Choose(aWish);
     for (int i = 0; i < 5; ++i) {
-      ++aServer->mInFlight;
-      mFleet.Ended(aServer, SendResult::Failed, mNow);
+      ++server->mInFlight;
+      mFleet.Ended(server, SendResult::Failed, mNow);
     }
+    return server;
   }
 
   ServerPtr Choose(const Wish& aWish) { return mFleet.Choose(aWish, mNow).mServer; }
@@ -252,8 +255,7 @@
   Fixture there;
   there.AddServers("east-a", 2);
   Wish wish = Fixture::WishFor("17");
-  ServerPtr first = there.Choose(wish);
-  there.FailOften(first);
+  ServerPtr first = there.ChooseAndFail(wish);
   CHECK(there.Choose(wish) != first);
 }
 
@@ -264,8 +266,7 @@
   Fixture there;
   there.AddServers("east-a", 2);
   Wish wish = Fixture::WishFor("17");
-  ServerPtr first = there.Choose(wish);
-  there.FailOften(first);
+  ServerPtr first = there.ChooseAndFail(wish);
   CHECK(there.Choose(wish) != first);
   there.mNow += 4s;
   CHECK(there.Choose(wish) == first);
