--- a/src/base/event.h
+++ b/src/base/event.h
@@ -24,6 +24,8 @@
   StoreUnavailable = 2101,
   StoreAvailable = 2102,
   ItemUnreadable = 2103,
+  FeedFailed = 2104,
+  FeedRead = 2105,
   ShareHeld = 3001,
   ShareLapsed = 3002,
   ShareReleased = 3003,
--- a/src/daemon/follow.cc
+++ b/src/daemon/follow.cc
@@ -18,6 +18,13 @@
 constexpr Duration kRetry = std::chrono::milliseconds(150);
 constexpr int kConfirmLook = 300;   // milliseconds between two looks
 constexpr int kConfirmSpread = 300; // milliseconds by which instances differ
+// Between two lines about failures, which may come with each retry.
+constexpr Duration kSayEvery = std::chrono::seconds(1);
+
+long long Milliseconds(Duration aTime)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
+}
 
 } // namespace
 
@@ -31,24 +38,78 @@
 
 Awaitable<void> Follower::Follow(std::string aPrefix)
 {
-  Position position{ std::move(aPrefix), 0, false };
+  Position position;
+  position.mPrefix = std::move(aPrefix);
   for (;;) {
     Duration pause = kGather;
+    FeedCall call{ position.mListed ? "changes" : "list", mCore.Now() };
     try {
-      co_await Step(position);
+      std::size_t items = co_await Step(position);
       mCore.NoteStore(true);
-    } catch (const store::HistoryGone&) {
+      NoteRead(position, call, items);
+    } catch (const store::HistoryGone& error) {
+      NoteFailure(position, call, error.what());
       position.mListed = false;
       pause = Duration::zero();
     } catch (const store::StoreError& error) {
-      spdlog::debug("following {} failed: {}", position.mPrefix, error.what());
+      NoteFailure(position, call, error.what());
       pause = kRetry;
     }
     co_await mCore.Sleep(pause);
   }
 }
 
-Awaitable<void> Follower::Step(Position& aPosition)
+// What was read is as old as the question: how long the answer was under way is not
+// known.
+void Follower::NoteRead(Position& aPosition, const FeedCall& aCall, std::size_t aItems)
+{
+  bool listed = std::string_view(aCall.mName) == "list";
+  if (listed || aPosition.mFailures > 0) {
+    Log(spdlog::level::info,
+        Event::FeedRead,
+        "prefix={} call={} took_ms={} items={} revision={} failures={} age_ms={}",
+        aPosition.mPrefix,
+        aCall.mName,
+        Milliseconds(mCore.Now() - aCall.mAsked),
+        aItems,
+        aPosition.mRevision,
+        aPosition.mFailures,
+        AgeMilliseconds(aPosition));
+  }
+  aPosition.mFailures = 0;
+  aPosition.mSaidAt = {};
+  aPosition.mAsOf = aCall.mAsked;
+  if (aPosition.mPrefix == mReader.ServerPrefix()) {
+    mCore.mServersAsOf = aCall.mAsked;
+  }
+}
+
+// -1 if nothing was read yet.
+long long Follower::AgeMilliseconds(const Position& aPosition) const
+{
+  return aPosition.mAsOf ? Milliseconds(mCore.Now() - *aPosition.mAsOf) : -1;
+}
+
+void Follower::NoteFailure(Position& aPosition, const FeedCall& aCall, const char* aCause)
+{
+  ++aPosition.mFailures;
+  if (aPosition.mSaidAt != Instant() && mCore.Now() - aPosition.mSaidAt < kSayEvery) {
+    return;
+  }
+  aPosition.mSaidAt = mCore.Now();
+  Log(spdlog::level::warn,
+      Event::FeedFailed,
+      "prefix={} call={} took_ms={} revision={} failures={} age_ms={} cause={}",
+      aPosition.mPrefix,
+      aCall.mName,
+      Milliseconds(mCore.Now() - aCall.mAsked),
+      aPosition.mRevision,
+      aPosition.mFailures,
+      AgeMilliseconds(aPosition),
+      aCause);
+}
+
+Awaitable<std::size_t> Follower::Step(Position& aPosition)
 {
   store::Items items;
   if (aPosition.mListed) {
@@ -62,6 +123,7 @@
   }
   aPosition.mRevision = items.mRevision;
   aPosition.mListed = true;
+  co_return items.mItems.size();
 }
 
 void Follower::Apply(const store::Item& aItem)
@@ -128,6 +190,11 @@
 {
   Duration kept = decide::KeepLapsed(mCore.OutageEnd(), mCore.Now());
   if (kept > Duration::zero() && mCore.mFleet.Servers().contains(aLeft.mId)) {
+    Log(spdlog::level::info,
+        Event::BackendServerState,
+        "server={} state=missing kept_ms={}",
+        aLeft.mId,
+        Milliseconds(kept));
     asio::co_spawn(mCore.mContext, RemoveLater(aLeft.mId, kept), asio::detached);
     return;
   }
--- a/src/daemon/follow.h
+++ b/src/daemon/follow.h
@@ -2,6 +2,7 @@
 // platform's store.
 #pragma once
 
+#include <optional>
 #include <random>
 #include <string>
 #include <variant>
@@ -68,10 +69,23 @@
     std::string mPrefix;
     std::uint64_t mRevision = 0;
     bool mListed = false;
+    std::optional<Instant> mAsOf; // what was read is no older
+    unsigned mFailures = 0;       // since the last call that succeeded
+    Instant mSaidAt{};            // when a failure was logged
+  };
+  // One call that follows a prefix, for the log.
+  struct FeedCall
+  {
+    const char* mName;
+    Instant mAsked;
   };
 
   Awaitable<void> Follow(std::string aPrefix);
-  Awaitable<void> Step(Position& aPosition);
+  // Returns the number of items that came.
+  Awaitable<std::size_t> Step(Position& aPosition);
+  void NoteRead(Position& aPosition, const FeedCall& aCall, std::size_t aItems);
+  long long AgeMilliseconds(const Position& aPosition) const;
+  void NoteFailure(Position& aPosition, const FeedCall& aCall, const char* aCause);
   Awaitable<void> ConfirmConfig();
   Awaitable<void> ConfirmOnce();
   Awaitable<void> RemoveLater(std::string aId, Duration aKept);
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -38,6 +38,16 @@
   { "log-level", "info", false, "debug, info, warning or error" },
 };
 
+// On the users' platform everything else stands in the settings file.
+const std::vector<base::Flag> kPlatformFlags = {
+  { "log-level", "info", false, "debug, info, warning or error" },
+};
+
+void SetLogLevel(const base::Settings& aSettings)
+{
+  spdlog::set_level(spdlog::level::from_str(aSettings.Text("log-level")));
+}
+
 entry::InstanceSettings ToInstanceSettings(const base::Settings& aSettings)
 {
   entry::InstanceSettings settings;
@@ -85,6 +95,7 @@
     if (auto path = platform::SettingsPath()) {
       spdlog::set_default_logger(
         spdlog::stdout_logger_mt("vanillaloftd on the platform"));
+      SetLogLevel(base::Settings::Parse(aArgc, aArgv, kPlatformFlags));
       platform::Run(*path);
       return kExitOk;
     }
@@ -97,7 +108,7 @@
       std::cout << "vanillaloftd " VANILLALOFT_VERSION "\n";
       return kExitOk;
     }
-    spdlog::set_level(spdlog::level::from_str(settings.Text("log-level")));
+    SetLogLevel(settings);
     Run(settings);
     return kExitOk;
   } catch (const base::SettingError& error) {
--- a/src/entry/core.cc
+++ b/src/entry/core.cc
@@ -27,6 +27,8 @@
   { "vanillaloft_pool_held", "1 while the pool share is held." },
   { "vanillaloft_orders_remembered", "Order tickets that have not expired." },
   { "vanillaloft_requests_running", "Requests being served." },
+  { "vanillaloft_registrations_age_seconds",
+    "Age of what is known of the backend servers' registrations; -1 if nothing is." },
 };
 
 } // namespace
@@ -166,6 +168,11 @@
   return mStoreAvailable ? mOutageEnd : Now();
 }
 
+Duration Core::ServersAge() const
+{
+  return mServersAsOf ? Now() - *mServersAsOf : Duration::max();
+}
+
 double Core::RetryReserve() const
 {
   if (mSettings.mFleetRetryReserve <= 0) {
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -142,6 +142,10 @@
   // now. Nothing if there was none.
   std::optional<Instant> OutageEnd() const;
 
+  // Age of what is known of the backend servers' registrations; Duration::max() if they
+  // were never read.
+  Duration ServersAge() const;
+
   decide::MemberStatus Status() const;
 
   boost::asio::io_context& mContext;
@@ -158,6 +162,8 @@
   bool mLeaving = false; // not named by look-ups, still serving
   bool mStopped = false; // takes no new requests
   bool mStoreAvailable = false;
+  // What is known of the backend servers' registrations is no older. None: never read.
+  std::optional<Instant> mServersAsOf;
   unsigned mRunning = 0; // requests being served
 
 private:
--- a/src/entry/dump.cc
+++ b/src/entry/dump.cc
@@ -69,6 +69,7 @@
   json state = StatusJson(aCore.Status());
   Instant now = aCore.Now();
   state["store_available"] = aCore.mStoreAvailable;
+  state["registrations_age_ms"] = Milliseconds(aCore.ServersAge());
   state["share_holder"] = aCore.mShares.IsHolder();
   state["pool_held"] = aCore.mShares.HoldsPool(now);
   state["floor_held"] = aCore.mShares.HoldsFloor(now);
@@ -95,6 +96,9 @@
   metrics.Gauge("vanillaloft_pool_held").Set(aCore.mShares.HoldsPool(now) ? 1 : 0);
   metrics.Gauge("vanillaloft_orders_remembered").Set(double(aCore.mLedger.Size()));
   metrics.Gauge("vanillaloft_requests_running").Set(double(aCore.mRunning));
+  Duration age = aCore.ServersAge();
+  metrics.Gauge("vanillaloft_registrations_age_seconds")
+    .Set(age == Duration::max() ? -1 : std::chrono::duration<double>(age).count());
 }
 
 } // namespace vanillaloft::entry
--- a/src/entry/pipeline.cc
+++ b/src/entry/pipeline.cc
@@ -111,7 +111,7 @@
     spdlog::level::info,
     base::Event::RequestEnded,
     "request={} service={} organisation={} object={} result={} status={} took_ms={} "
-    "sends={} no_room={}",
+    "sends={} no_room={} registrations_ms={}",
     aExchange.mRequestId,
     service,
     aExchange.OrganisationOr("-"),
@@ -120,7 +120,10 @@
     aOutcome.mStatus,
     std::chrono::duration_cast<std::chrono::milliseconds>(took).count(),
     aExchange.mSends,
-    aExchange.mRefusedBy);
+    aExchange.mRefusedBy,
+    mCore.mServersAsOf
+      ? std::chrono::duration_cast<std::chrono::milliseconds>(mCore.ServersAge()).count()
+      : -1);
 }
 
 decide::OrganisationId Pipeline::Identify(const std::string& aKey) const
