An instance's own cut is not taken for an outage of the store

Cause: registrations that lapse while the store is away are waited for until 1.7 s behind the end of the outage, and each instance took its own failed calls for an outage. Change: decide::StoreOutage takes the store for away only if for 3 s, the shortest outage in which a registration can lapse, no instance that is heard had an answer. Confirmations and what peers say of their copies count. Evidence: the new test of two instances fails on the commit before (the server is still known when its peer's news has come) and passes now; the decision has two tests of its own.

--- a/src/daemon/follow.cc
+++ b/src/daemon/follow.cc
@@ -49,9 +49,9 @@
     FeedCall call{ lists, mCore.Now(), replica.AsOf() };
     try {
       std::size_t items = co_await Step(position, call);
-      mCore.NoteStore(true);
       NoteRead(position, call, items);
     } catch (const store::HistoryGone& error) {
+      mCore.NoteStore(true);
       NoteFailure(position, call, error.what());
       position.mHistoryGone = true;
       pause = Duration::zero();
@@ -73,10 +73,12 @@
   std::vector<store::Item> news;
   if (aCall.mLists) {
     items = co_await mFeed.List(aPosition.mPrefix);
+    mCore.NoteStore(true);
     news = replica.TakeListing(items, aCall.mAsked);
     aPosition.mHistoryGone = false;
   } else {
     items = co_await mFeed.Changes(aPosition.mPrefix, replica.At().mComplete, kWait);
+    mCore.NoteStore(true);
     news = replica.TakeChanges(items, aCall.mAsked);
   }
   ApplyAll(news);
--- a/src/entry/core.cc
+++ b/src/entry/core.cc
@@ -126,6 +126,7 @@
 void Core::Confirm(Duration aAge)
 {
   mConfirmedAt = std::max(mConfirmedAt, Now() - aAge);
+  NoteAnswer(Now() - aAge);
 }
 
 Duration Core::ConfirmedAge() const
@@ -150,6 +151,9 @@
 
 void Core::NoteStore(bool aAvailable)
 {
+  if (aAvailable) {
+    NoteAnswer(Now());
+  }
   if (aAvailable == mStoreAvailable) {
     return;
   }
@@ -157,15 +161,6 @@
   base::Event event =
     aAvailable ? base::Event::StoreAvailable : base::Event::StoreUnavailable;
   base::Log(spdlog::level::warn, event, "");
-  if (aAvailable && mStoreWasAvailable) {
-    mOutageEnd = Now();
-  }
-  mStoreWasAvailable = true;
-}
-
-std::optional<Instant> Core::OutageEnd() const
-{
-  return mStoreAvailable ? mOutageEnd : Now();
 }
 
 Duration Core::ServersAge() const
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -23,6 +23,7 @@
 #include "decide/accept.h"
 #include "decide/fleet.h"
 #include "decide/member.h"
+#include "decide/outage.h"
 #include "decide/retry.h"
 #include "decide/share.h"
 #include "decide/steer.h"
@@ -139,11 +140,12 @@
 
   // Waits on the runtime's clock.
   Awaitable<void> Sleep(Duration aTime);
-  // Takes note of whether the store answers; a change is logged.
+  // Takes note of whether the store answers this instance; a change is logged.
   void NoteStore(bool aAvailable);
-  // The end of the last outage of the store; one that is not yet noticed to be over ends
-  // now. Nothing if there was none.
-  std::optional<Instant> OutageEnd() const;
+  // Takes note of an answer that this instance or a peer had to what it asked then.
+  void NoteAnswer(Instant aAsked) { mOutage.Answered(aAsked, Now()); }
+  // The end of the last outage of the store, see decide::StoreOutage.
+  std::optional<Instant> OutageEnd() const { return mOutage.End(Now()); }
 
   store::Replica& ReplicaOf(store::Part aPart)
   {
@@ -185,8 +187,7 @@
   base::Incarnation mSelf;
   decide::Acceptor mAcceptor;
   Instant mConfirmedAt{};
-  bool mStoreWasAvailable = false; // at any time
-  std::optional<Instant> mOutageEnd;
+  decide::StoreOutage mOutage;
   Instant mConfiguredAt{};
 };
 
--- a/src/entry/relay.cc
+++ b/src/entry/relay.cc
@@ -106,10 +106,12 @@
     store::Replica& replica = mCore.mReplicas[wire.part()];
     Lag& lag = mLags[wire.part()];
     store::Reach reach{ wire.complete(), wire.changed() };
+    if (aAsked) {
+      Instant asOf = *aAsked - std::chrono::milliseconds(wire.age_ms());
+      mCore.NoteAnswer(asOf);
+      replica.Confirm(reach, asOf);
+    }
     if (replica.IsListed() && !replica.Lacks(reach)) {
-      if (aAsked) {
-        replica.Confirm(reach, *aAsked - std::chrono::milliseconds(wire.age_ms()));
-      }
       continue;
     }
     if (lag.mSince == Instant() || replica.At().mComplete >= lag.mRevision) {
--- a/tests/unit/daemon.cc
+++ b/tests/unit/daemon.cc
@@ -258,3 +258,19 @@
   CHECK(pair.Until([&] { return pair.mB.KnowsLeaving("i-1"); }));
   CHECK(pair.Until([&] { return pair.mB.KnowsLeaving("i-2"); }));
 }
+
+// Guards against requests to a server whose registration was removed while one instance
+// could not reach the store: that instance waited for the registration to come back.
+TEST_CASE("a server that was removed during an instance's own cut is not waited for")
+{
+  Pair pair;
+  pair.mContent.Write("servers/i-1", "ready");
+  pair.mContent.Write("servers/i-2", "ready");
+  REQUIRE(pair.Until([&] { return pair.mB.Knows("i-1") && pair.mB.Knows("i-2"); }));
+  pair.mB.mCut = true;
+  REQUIRE(pair.Until([&] { return !pair.mB.mInstance.mCore.mStoreAvailable; }));
+  pair.mContent.Delete("servers/i-2");
+  pair.mContent.Write("servers/i-1", "draining");
+  CHECK(pair.Until([&] { return pair.mB.KnowsLeaving("i-1"); }));
+  CHECK_FALSE(pair.mB.Knows("i-2"));
+}
--- a/tests/unit/decide_fleet.cc
+++ b/tests/unit/decide_fleet.cc
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include "decide/fleet.h"
+#include "decide/outage.h"
 #include "decide/ramp.h"
 #include "decide/route.h"
 #include "regions.h"
@@ -368,3 +369,29 @@
   CHECK(KeepLapsed(kStart, kStart + 500ms) <= 1500ms);
   CHECK(KeepLapsed(kStart, kStart + 1300ms) == Duration::zero());
 }
+
+TEST_CASE("an outage of the store is told from a cut of this instance alone")
+{
+  StoreOutage outage;
+  CHECK_FALSE(outage.End(kStart));
+  outage.Answered(kStart, kStart);
+  // Peers go on having answers.
+  for (Duration passed = 1s; passed <= 12s; passed += 1s) {
+    outage.Answered(kStart + passed - 900ms, kStart + passed);
+    CHECK_FALSE(outage.End(kStart + passed));
+  }
+  outage.Answered(kStart + 13s, kStart + 13s);
+  CHECK_FALSE(outage.End(kStart + 13s));
+  // Nobody has.
+  CHECK(outage.End(kStart + 18s) == kStart + 18s);
+  outage.Answered(kStart + 18s, kStart + 18200ms);
+  CHECK(outage.End(kStart + 20s) == kStart + 18200ms);
+}
+
+TEST_CASE("old news about answers ends no outage")
+{
+  StoreOutage outage;
+  outage.Answered(kStart, kStart);
+  outage.Answered(kStart - 2s, kStart + 5s);
+  CHECK(outage.End(kStart + 5s) == kStart + 5s);
+}
