A server that leaves while a connection to it is made gets no request

Between the choice of a server and the sending lies a new connection of up to 300 ms, and the server's state was not looked at again. Change: when the connection stands, the server is looked at once more. If it leaves, has gone or its data centre is evacuated, nothing is sent (result 409, backend-server-left, not run) and another server is chosen, without a retry being spent and without a fault being counted for the server. Evidence: the new test fails without the check (the server gets the request) and passes with it.

--- a/src/base/result.h
+++ b/src/base/result.h
@@ -40,6 +40,7 @@
   BackendServerShed = 406,
   DeadlineBeforeStart = 407,
   NotConnected = 408,
+  BackendServerLeft = 409,
   TicketMissing = 501,
   TicketInvalid = 502,
   TicketExpired = 503,
--- a/src/decide/fleet.cc
+++ b/src/decide/fleet.cc
@@ -142,13 +142,16 @@
   }
 }
 
+bool Fleet::IsLeaving(const Server& aServer) const
+{
+  return aServer.mGone || aServer.mRegistration.mDraining ||
+         IsEvacuated(aServer.mRegistration.mDataCentre);
+}
+
 bool Fleet::MayServe(const Server& aServer, const Wish& aWish) const
 {
-  if (aServer.mGone || aServer.mRegistration.mDraining ||
-      aServer.mService != aWish.mService || aServer.mDataCentre.IsNone()) {
-    return false;
-  }
-  if (mEvacuated.contains(aServer.mRegistration.mDataCentre)) {
+  if (IsLeaving(aServer) || aServer.mService != aWish.mService ||
+      aServer.mDataCentre.IsNone()) {
     return false;
   }
   RegionId region = mConfig->mDataCentres[aServer.mDataCentre.At()].mRegion;
--- a/src/decide/fleet.h
+++ b/src/decide/fleet.h
@@ -146,6 +146,13 @@
   void Deregister(const std::string& aId);
   // Nothing more is sent to an evacuated data centre.
   void SetEvacuated(const std::string& aDataCentre, bool aEvacuated);
+  bool IsEvacuated(const std::string& aDataCentre) const
+  {
+    return mEvacuated.contains(aDataCentre);
+  }
+
+  // True if nothing new may be sent to the server any more.
+  bool IsLeaving(const Server& aServer) const;
 
   // Chooses a server. The caller sends to it and calls Ended, with Cancelled if it did
   // not send after all.
--- a/src/decide/route.cc
+++ b/src/decide/route.cc
@@ -24,6 +24,7 @@
   RetryRow{ base::Result::NotReady, milliseconds(300) },
   RetryRow{ base::Result::KeysUnconfirmed, milliseconds(500) },
   RetryRow{ base::Result::NotConnected, milliseconds(150) },
+  RetryRow{ base::Result::BackendServerLeft, milliseconds(150) },
 };
 
 } // namespace
--- a/src/entry/backend.cc
+++ b/src/entry/backend.cc
@@ -73,6 +73,9 @@
     Keep(aTarget.mName, std::move(connection));
     throw base::RequestError(Result::DeadlineBeforeStart);
   }
+  if (aTarget.mMaySend && !aTarget.mMaySend()) {
+    throw base::RequestError(Result::BackendServerLeft);
+  }
   net::Request request = mFormat.ToServer(aExchange, sending);
   if (aExchange.mCaller && !aOrder) {
     aExchange.mCaller->mOnGone = [&connection] { connection->Close(); };
@@ -118,7 +121,7 @@
                                          decide::Ending& aEnding)
 {
   aEnding = decide::Ending::Unreached;
-  Target target{ aSlot.mServer, aSlot.mAddress };
+  Target target{ aSlot.mServer, aSlot.mAddress, {} };
   Reuse reuse = aOrder ? Reuse::Forbidden : Reuse::Allowed;
   ServerAnswer answer;
   try {
--- a/src/entry/backend.h
+++ b/src/entry/backend.h
@@ -1,6 +1,7 @@
 // Calls from an entry instance to the backend servers that it owns.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -19,6 +20,9 @@
 {
   std::string mName; // connections are kept by it
   base::HostPort mAddress;
+  // False once nothing may be sent to it any more; asked again when the connection
+  // stands. Empty: always true.
+  std::function<bool()> mMaySend;
 };
 
 // Whether a call may use a connection that was kept from an earlier one.
@@ -37,9 +41,10 @@
   {
   }
 
-  // Sends a request and reads the whole answer. Throws RequestError: NotConnected if
-  // nothing was sent, otherwise AnswerTimeout or AnswerLost. The call ends early with
-  // AnswerLost when the caller goes away, unless the request is an order.
+  // Sends a request and reads the whole answer. Throws RequestError: NotConnected or
+  // BackendServerLeft if nothing was sent, otherwise AnswerTimeout or AnswerLost. The
+  // call ends early with AnswerLost when the caller goes away, unless the request is an
+  // order.
   Awaitable<ServerAnswer> Call(Exchange& aExchange,
                                Target aTarget,
                                Reuse aReuse,
--- a/src/entry/direct.cc
+++ b/src/entry/direct.cc
@@ -18,7 +18,7 @@
 constexpr Duration kDefaultTarget = std::chrono::milliseconds(400);
 // Room also comes with time: pauses end and cold servers take more.
 constexpr Duration kLookAgain = std::chrono::milliseconds(25);
-constexpr unsigned kMostNotConnected = 3;
+constexpr unsigned kMostNotSent = 3;
 
 bool IsIdempotent(const Exchange& aExchange)
 {
@@ -44,6 +44,12 @@
     .mPriority.value_or(own);
 }
 
+// Such a request was not sent, so it does not count as one.
+bool NotSent(Result aCode)
+{
+  return aCode == Result::NotConnected || aCode == Result::BackendServerLeft;
+}
+
 bool NotRun(Result aCode)
 {
   return base::Row(aCode).mRan == base::Ran::No;
@@ -52,7 +58,8 @@
 // How a call that failed is counted for its server.
 SendResult FailureOf(const RequestError& aError, const Exchange& aExchange)
 {
-  if (aExchange.CallerGone() || aError.Code() == Result::DeadlineBeforeStart) {
+  if (aExchange.CallerGone() || aError.Code() == Result::DeadlineBeforeStart ||
+      aError.Code() == Result::BackendServerLeft) {
     return SendResult::Cancelled;
   }
   return aError.Code() == Result::NotConnected ? SendResult::Refused : SendResult::Lost;
@@ -151,7 +158,9 @@
                                                    Tries& aTries)
 {
   const decide::Registration& registration = aServer->mRegistration;
-  Target target{ registration.mId, registration.mAddress };
+  Target target{ registration.mId, registration.mAddress, [&] {
+                  return !mCore.mFleet.IsLeaving(*aServer);
+                } };
   ++aTries.mSends;
   aTries.mServers.push_back(aServer);
   Instant sent = mCore.Now();
@@ -235,8 +244,8 @@
   if (!safe || aExchange.CallerGone() || mCore.Now() >= aExchange.mDeadline) {
     return false;
   }
-  if (aCode == Result::NotConnected) {
-    return aTries.mNotConnected <= kMostNotConnected;
+  if (NotSent(aCode)) {
+    return aTries.mNotSent <= kMostNotSent;
   }
   unsigned most = std::max(1U, aExchange.RouteInForce().mMostServers);
   return aTries.mSends < most && mCore.mRetries.Spend(aExchange.ServiceName());
@@ -260,8 +269,8 @@
     if (code == Result::Ok && !failed) {
       co_return outcome;
     }
-    if (code == Result::NotConnected) {
-      ++tries.mNotConnected;
+    if (NotSent(code)) {
+      ++tries.mNotSent;
       --tries.mSends;
     }
     tries.mMayHaveRun = tries.mMayHaveRun || failed || !NotRun(code);
--- a/src/entry/direct.h
+++ b/src/entry/direct.h
@@ -28,7 +28,7 @@
   {
     std::vector<decide::ServerPtr> mServers;
     unsigned mSends = 0;
-    unsigned mNotConnected = 0;
+    unsigned mNotSent = 0;
     bool mMayHaveRun = false;
     std::optional<decide::Outcome> mFailure; // a server's own
   };
--- a/tests/unit/entry.cc
+++ b/tests/unit/entry.cc
@@ -5,6 +5,7 @@
 
 #include "base/clock.h"
 #include "canned.h"
+#include "entry/direct.h"
 #include "entry/dump.h"
 #include "entry/lookup.h"
 #include "entry/pipeline.h"
@@ -221,6 +222,39 @@
   CHECK(exchange.mPaidFrom.IsNone());
 }
 
+// Guards against requests to a server whose departure became known between the choice and
+// the sending.
+TEST_CASE("a server that leaves while a connection to it is made gets no request")
+{
+  Fixture fixture;
+  DirectPlacement direct(fixture.mCore, fixture.mBackend);
+  test::CannedServer server(fixture.mContext,
+                            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  decide::Registration registration;
+  registration.mId = "i-1";
+  registration.mService = "s";
+  registration.mDataCentre = "d1";
+  registration.mAddress = server.Address();
+  registration.mSlots = 4;
+  fixture.mCore.mFleet.Register(registration, fixture.mClock.Now());
+  Exchange exchange;
+  exchange.mMethod = "GET";
+  exchange.mTarget = "/open";
+  exchange.mRequestId = "1";
+  exchange.mArrival = fixture.mClock.Now();
+  exchange.mDeadline = exchange.mArrival + 5s;
+  fixture.mPipeline.Resolve(exchange);
+  boost::asio::post(fixture.mContext, [&] {
+    registration.mDraining = true;
+    boost::asio::post(fixture.mContext, [&] {
+      fixture.mCore.mFleet.Register(registration, fixture.mClock.Now());
+    });
+  });
+  CHECK_THROWS_AS(test::Finish(fixture.mContext, direct.Place(exchange)),
+                  base::RequestError);
+  CHECK(server.Received().empty());
+}
+
 // Pattern: a process that was held up finds requests whose callers have left meanwhile.
 TEST_CASE("a caller that closed before its request was read is known to be gone")
 {
