A peer is not asked again at once, and no error ends following unseen

Two things found when the relay was read again. A fetch that did not bring what was lacking was repeated at each heartbeat of each peer; now 0.7 s later. An error other than the store's ended the coroutine that follows it, without a log line, for as long as the process lived; now it is logged as event=2104 and following goes on. With tests of the same cause elsewhere: an evacuation reaches an instance that is cut off, and one that starts cut off gets the registrations from a peer.

--- a/src/daemon/follow.cc
+++ b/src/daemon/follow.cc
@@ -55,7 +55,7 @@
       NoteFailure(position, call, error.what());
       position.mHistoryGone = true;
       pause = Duration::zero();
-    } catch (const store::StoreError& error) {
+    } catch (const std::exception& error) {
       NoteFailure(position, call, error.what());
       pause = kRetry;
     }
--- a/src/entry/relay.cc
+++ b/src/entry/relay.cc
@@ -167,6 +167,7 @@
     spdlog::debug("items not fetched from {}: {}", aAddress, error.what());
   }
   lag.mFetching = false;
+  lag.mSince = mCore.Now();
 }
 
 // A peer's confirmation counts only while both have the same revision in force, and from
--- a/tests/unit/daemon.cc
+++ b/tests/unit/daemon.cc
@@ -274,3 +274,29 @@
   CHECK(pair.Until([&] { return pair.mB.KnowsLeaving("i-1"); }));
   CHECK_FALSE(pair.mB.Knows("i-2"));
 }
+
+// Guards against an instance that goes on sending to a data centre which operators
+// evacuated while it could not reach the store.
+TEST_CASE("an instance cut off from the store hears from peers of an evacuation")
+{
+  Pair pair;
+  pair.mContent.Write("servers/i-1", "ready");
+  REQUIRE(pair.Until([&] { return pair.mB.Knows("i-1"); }));
+  pair.mB.mCut = true;
+  pair.mContent.Write("operators/d1", "");
+  CHECK(pair.Until([&] { return pair.mB.mInstance.mCore.mFleet.IsEvacuated("d1"); }));
+  pair.mContent.Delete("operators/d1");
+  CHECK(pair.Until([&] { return !pair.mB.mInstance.mCore.mFleet.IsEvacuated("d1"); }));
+}
+
+// Guards against an instance that is useless because it started while it could not reach
+// the store.
+TEST_CASE("an instance that starts cut off from the store hears from peers which servers "
+          "there are")
+{
+  Pair pair;
+  pair.mB.mCut = true;
+  pair.mContent.Write("servers/i-1", "ready");
+  pair.mContent.Write("servers/i-2", "ready");
+  CHECK(pair.Until([&] { return pair.mB.Knows("i-1") && pair.mB.Knows("i-2"); }));
+}
