--- a/src/store/replica.h
+++ b/src/store/replica.h
@@ -34,9 +34,8 @@
 // What one copy has and another lacks.
 struct Difference
 {
-  Items mItems; // deleted ones, too
-  bool mWhole =
-    false; // all items; what is missing was deleted, as behind a new listing
+  Items mItems;        // deleted ones, too
+  bool mWhole = false; // all items; what is missing was deleted, as behind a new listing
 };
 
 class Replica
