--- a/src/daemon/follow.cc
+++ b/src/daemon/follow.cc
@@ -18,79 +18,124 @@
 constexpr Duration kRetry = std::chrono::milliseconds(150);
 constexpr int kConfirmLook = 300;   // milliseconds between two looks
 constexpr int kConfirmSpread = 300; // milliseconds by which instances differ
+// Between two lines about failures, which may come with each retry.
+constexpr Duration kSayEvery = std::chrono::seconds(1);
+
+long long Milliseconds(Duration aTime)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
+}
 
 } // namespace
 
 void Follower::Start()
 {
-  for (const std::string& prefix : { mReader.OperatorPrefix(), mReader.ServerPrefix() }) {
-    asio::co_spawn(mCore.mContext, Follow(prefix), asio::detached);
-  }
+  mCore.mOnItems = [this](const std::vector<store::Item>& aItems) { ApplyAll(aItems); };
+  asio::co_spawn(mCore.mContext,
+                 Follow(store::Part::Operators, mReader.OperatorPrefix()),
+                 asio::detached);
+  asio::co_spawn(
+    mCore.mContext, Follow(store::Part::Servers, mReader.ServerPrefix()), asio::detached);
   asio::co_spawn(mCore.mContext, ConfirmConfig(), asio::detached);
 }
 
-Awaitable<void> Follower::Follow(std::string aPrefix)
+Awaitable<void> Follower::Follow(store::Part aPart, std::string aPrefix)
 {
-  Position position{ std::move(aPrefix), 0, false };
+  store::Replica& replica = mCore.ReplicaOf(aPart);
+  Position position{ replica, std::move(aPrefix) };
   for (;;) {
     Duration pause = kGather;
+    bool lists = !replica.IsListed() || position.mHistoryGone;
+    FeedCall call{ lists, mCore.Now(), replica.AsOf() };
     try {
-      co_await Step(position);
+      std::size_t items = co_await Step(position, call);
+      NoteRead(position, call, items);
+    } catch (const store::HistoryGone& error) {
       mCore.NoteStore(true);
-    } catch (const store::HistoryGone&) {
-      position.mListed = false;
+      NoteFailure(position, call, error.what());
+      position.mHistoryGone = true;
       pause = Duration::zero();
-    } catch (const store::StoreError& error) {
-      spdlog::debug("following {} failed: {}", position.mPrefix, error.what());
+    } catch (const std::exception& error) {
+      NoteFailure(position, call, error.what());
       pause = kRetry;
     }
     co_await mCore.Sleep(pause);
   }
 }
 
-Awaitable<void> Follower::Step(Position& aPosition)
+// Changes are asked for behind what the replica has by then, be it from the store or from
+// a peer. What was read is as old as the question: how long the answer was under way is
+// not known.
+Awaitable<std::size_t> Follower::Step(Position& aPosition, FeedCall aCall)
 {
+  store::Replica& replica = aPosition.mReplica;
   store::Items items;
-  if (aPosition.mListed) {
-    items = co_await mFeed.Changes(aPosition.mPrefix, aPosition.mRevision, kWait);
-  } else {
+  std::vector<store::Item> news;
+  if (aCall.mLists) {
     items = co_await mFeed.List(aPosition.mPrefix);
-    DropMissing(aPosition, items);
-  }
-  for (const store::Item& item : items.mItems) {
-    Apply(item);
+    mCore.NoteStore(true);
+    news = replica.TakeListing(items, aCall.mAsked);
+    aPosition.mHistoryGone = false;
+  } else {
+    items = co_await mFeed.Changes(aPosition.mPrefix, replica.At().mComplete, kWait);
+    mCore.NoteStore(true);
+    news = replica.TakeChanges(items, aCall.mAsked);
   }
-  aPosition.mRevision = items.mRevision;
-  aPosition.mListed = true;
+  ApplyAll(news);
+  co_return items.mItems.size();
 }
 
-void Follower::Apply(const store::Item& aItem)
+// The call and the state of following, for the log.
+std::string Follower::Describe(const Position& aPosition, const FeedCall& aCall) const
 {
-  std::visit([this](const auto& aBelief) { Take(aBelief); }, mReader.Read(aItem));
+  return fmt::format("prefix={} call={} took_ms={} revision={} failures={} age_ms={}",
+                     aPosition.mPrefix,
+                     aCall.mLists ? "list" : "changes",
+                     Milliseconds(mCore.Now() - aCall.mAsked),
+                     aPosition.mReplica.At().mComplete,
+                     aPosition.mFailures,
+                     aCall.mAsOf ? Milliseconds(mCore.Now() - *aCall.mAsOf) : -1);
 }
 
-// What a listing lacks was deleted while nobody watched.
-void Follower::DropMissing(const Position& aPosition, const store::Items& aListed)
+void Follower::NoteRead(Position& aPosition, const FeedCall& aCall, std::size_t aItems)
 {
-  if (aPosition.mPrefix == mReader.OperatorPrefix()) {
-    mCore.mFleet.ClearEvacuations();
-    return;
-  }
-  std::set<std::string> listed;
-  for (const store::Item& item : aListed.mItems) {
-    listed.insert(item.mKey.substr(aPosition.mPrefix.size()));
+  if (aCall.mLists || aPosition.mFailures > 0) {
+    Log(spdlog::level::info,
+        Event::FeedRead,
+        "{} items={}",
+        Describe(aPosition, aCall),
+        aItems);
   }
-  std::vector<std::string> missing;
-  for (const auto& [id, server] : mCore.mFleet.Servers()) {
-    if (!listed.contains(id)) {
-      missing.push_back(id);
-    }
+  aPosition.mFailures = 0;
+  aPosition.mSaidAt = {};
+}
+
+void Follower::NoteFailure(Position& aPosition, const FeedCall& aCall, const char* aCause)
+{
+  ++aPosition.mFailures;
+  if (aPosition.mSaidAt != Instant() && mCore.Now() - aPosition.mSaidAt < kSayEvery) {
+    return;
   }
-  for (const std::string& id : missing) {
-    Take(ServerLeft{ id });
+  aPosition.mSaidAt = mCore.Now();
+  Log(spdlog::level::warn,
+      Event::FeedFailed,
+      "{} cause={}",
+      Describe(aPosition, aCall),
+      aCause);
+}
+
+void Follower::ApplyAll(const std::vector<store::Item>& aItems)
+{
+  for (const store::Item& item : aItems) {
+    Apply(item);
   }
 }
 
+void Follower::Apply(const store::Item& aItem)
+{
+  std::visit([this](const auto& aBelief) { Take(aBelief); }, mReader.Read(aItem));
+}
+
 void Follower::Take(const decide::ConfigPtr& aConfig)
 {
   decide::Offer offer = mCore.Accept(aConfig);
@@ -128,6 +173,11 @@
 {
   Duration kept = decide::KeepLapsed(mCore.OutageEnd(), mCore.Now());
   if (kept > Duration::zero() && mCore.mFleet.Servers().contains(aLeft.mId)) {
+    Log(spdlog::level::info,
+        Event::BackendServerState,
+        "server={} state=missing kept_ms={}",
+        aLeft.mId,
+        Milliseconds(kept));
     asio::co_spawn(mCore.mContext, RemoveLater(aLeft.mId, kept), asio::detached);
     return;
   }
--- a/src/entry/core.cc
+++ b/src/entry/core.cc
@@ -27,6 +27,8 @@
   { "vanillaloft_pool_held", "1 while the pool share is held." },
   { "vanillaloft_orders_remembered", "Order tickets that have not expired." },
   { "vanillaloft_requests_running", "Requests being served." },
+  { "vanillaloft_registrations_age_seconds",
+    "Age of what is known of the backend servers' registrations; -1 if nothing is." },
 };
 
 } // namespace
@@ -124,6 +126,7 @@
 void Core::Confirm(Duration aAge)
 {
   mConfirmedAt = std::max(mConfirmedAt, Now() - aAge);
+  NoteAnswer(Now() - aAge);
 }
 
 Duration Core::ConfirmedAge() const
@@ -148,6 +151,9 @@
 
 void Core::NoteStore(bool aAvailable)
 {
+  if (aAvailable) {
+    NoteAnswer(Now());
+  }
   if (aAvailable == mStoreAvailable) {
     return;
   }
@@ -155,15 +161,12 @@
   base::Event event =
     aAvailable ? base::Event::StoreAvailable : base::Event::StoreUnavailable;
   base::Log(spdlog::level::warn, event, "");
-  if (aAvailable && mStoreWasAvailable) {
-    mOutageEnd = Now();
-  }
-  mStoreWasAvailable = true;
 }
 
-std::optional<Instant> Core::OutageEnd() const
+Duration Core::ServersAge() const
 {
-  return mStoreAvailable ? mOutageEnd : Now();
+  const std::optional<Instant>& asOf = ReplicaOf(store::Part::Servers).AsOf();
+  return asOf ? Now() - *asOf : Duration::max();
 }
 
 double Core::RetryReserve() const
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -2,6 +2,8 @@
 // counters that operators see.
 #pragma once
 
+#include <array>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -21,11 +23,13 @@
 #include "decide/accept.h"
 #include "decide/fleet.h"
 #include "decide/member.h"
+#include "decide/outage.h"
 #include "decide/retry.h"
 #include "decide/share.h"
 #include "decide/steer.h"
 #include "decide/ticket.h"
 #include "peer/peer.h"
+#include "store/replica.h"
 
 namespace vanillaloft::entry {
 
@@ -136,11 +140,25 @@
 
   // Waits on the runtime's clock.
   Awaitable<void> Sleep(Duration aTime);
-  // Takes note of whether the store answers; a change is logged.
+  // Takes note of whether the store answers this instance; a change is logged.
   void NoteStore(bool aAvailable);
-  // The end of the last outage of the store; one that is not yet noticed to be over ends
-  // now. Nothing if there was none.
-  std::optional<Instant> OutageEnd() const;
+  // Takes note of an answer that this instance or a peer had to what it asked then.
+  void NoteAnswer(Instant aAsked) { mOutage.Answered(aAsked, Now()); }
+  // The end of the last outage of the store, see decide::StoreOutage.
+  std::optional<Instant> OutageEnd() const { return mOutage.End(Now()); }
+
+  store::Replica& ReplicaOf(store::Part aPart)
+  {
+    return mReplicas[static_cast<std::size_t>(aPart)];
+  }
+  const store::Replica& ReplicaOf(store::Part aPart) const
+  {
+    return mReplicas[static_cast<std::size_t>(aPart)];
+  }
+
+  // Age of what is known of the backend servers' registrations; Duration::max() if they
+  // were never read.
+  Duration ServersAge() const;
 
   decide::MemberStatus Status() const;
 
@@ -157,6 +175,11 @@
   Metrics mMetrics;
   bool mLeaving = false; // not named by look-ups, still serving
   bool mStopped = false; // takes no new requests
+  // What this instance knows of the store's parts that it follows, from the store or from
+  // peers.
+  std::array<store::Replica, store::kParts> mReplicas;
+  // Takes what changed in a part; empty while nothing is followed.
+  std::function<void(const std::vector<store::Item>&)> mOnItems;
   bool mStoreAvailable = false;
   unsigned mRunning = 0; // requests being served
 
@@ -164,8 +187,7 @@
   base::Incarnation mSelf;
   decide::Acceptor mAcceptor;
   Instant mConfirmedAt{};
-  bool mStoreWasAvailable = false; // at any time
-  std::optional<Instant> mOutageEnd;
+  decide::StoreOutage mOutage;
   Instant mConfiguredAt{};
 };
 
--- a/src/entry/pipeline.cc
+++ b/src/entry/pipeline.cc
@@ -47,6 +47,14 @@
            : aExchange.mConfig->mOrganisations[aExchange.mOrganisation.At()].mBudget;
 }
 
+// -1 for what was never read.
+long long AgeMilliseconds(Duration aAge)
+{
+  return aAge == Duration::max()
+           ? -1
+           : std::chrono::duration_cast<std::chrono::milliseconds>(aAge).count();
+}
+
 bool MayRetry(const RequestError& aError, bool aOrder)
 {
   if (aError.Code() == Result::DeadlineBeforeStart ||
@@ -111,7 +119,7 @@
     spdlog::level::info,
     base::Event::RequestEnded,
     "request={} service={} organisation={} object={} result={} status={} took_ms={} "
-    "sends={} no_room={}",
+    "sends={} no_room={} registrations_ms={}",
     aExchange.mRequestId,
     service,
     aExchange.OrganisationOr("-"),
@@ -120,7 +128,8 @@
     aOutcome.mStatus,
     std::chrono::duration_cast<std::chrono::milliseconds>(took).count(),
     aExchange.mSends,
-    aExchange.mRefusedBy);
+    aExchange.mRefusedBy,
+    AgeMilliseconds(mCore.ServersAge()));
 }
 
 decide::OrganisationId Pipeline::Identify(const std::string& aKey) const
