A call's time limit also ends an answer whose bytes never end

Cause: the stream's limit only ends a read that waits. Where bytes keep coming, each read finds some, and the limit never strikes. Change: a call reads piece by piece and looks at the clock. An answer that is coming in at the limit may still end within 250 ms, so that one that is ready when a held-up process looks is delivered.

--- a/src/net/http.cc
+++ b/src/net/http.cc
@@ -7,8 +7,6 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/error.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 namespace vanillaloft::net {
@@ -21,6 +19,11 @@
 
 using Error = boost::system::error_code;
 
+constexpr std::size_t kReadSize = 16UL * 1024; // bytes
+// An answer that is coming in at the call's time limit may still end within this time: a
+// process that was held up finds it waiting.
+constexpr std::chrono::milliseconds kFinish{ 250 };
+
 void ThrowIf(const Error& aError, Stage aStage)
 {
   if (aError) {
@@ -66,18 +69,55 @@
 Awaitable<Response> Connection::Call(const Request& aRequest,
                                      std::chrono::milliseconds aTimeout)
 {
+  return Call(aRequest, aTimeout, aTimeout);
+}
+
+// Reads what there is and parses it. Throws CallError.
+Awaitable<void> Connection::ReadSome(Parser& aParser)
+{
+  Error error;
+  std::size_t size = co_await mStream.async_read_some(
+    mBuffer.prepare(kReadSize), asio::redirect_error(asio::use_awaitable, error));
+  if (error == asio::error::eof && aParser.got_some()) {
+    aParser.put_eof(error);
+    ThrowIf(error, Stage::Sent);
+    co_return;
+  }
+  ThrowIf(error, Stage::Sent);
+  mBuffer.commit(size);
+  mBuffer.consume(aParser.put(mBuffer.data(), error));
+  if (error != http::error::need_more) {
+    ThrowIf(error, Stage::Sent);
+  }
+}
+
+// The stream's own limit only ends a read that waits; where bytes keep coming it never
+// strikes, so the clock is looked at as well.
+Awaitable<Response> Connection::Call(const Request& aRequest,
+                                     std::chrono::milliseconds aTimeout,
+                                     std::chrono::milliseconds aStall)
+{
+  using Clock = std::chrono::steady_clock;
+  Clock::time_point end = Clock::now() + aTimeout;
   Error error;
   mKeepsAlive = false;
-  mStream.expires_after(aTimeout);
+  mStream.expires_at(end);
   co_await http::async_write(
     mStream, aRequest, asio::redirect_error(asio::use_awaitable, error));
   ThrowIf(error, Stage::Sent);
-  http::response_parser<http::string_body> parser;
+  Parser parser;
   parser.body_limit(kLargestAnswer);
   parser.skip(aRequest.method() == http::verb::head);
-  co_await http::async_read(
-    mStream, mBuffer, parser, asio::redirect_error(asio::use_awaitable, error));
-  ThrowIf(error, Stage::Sent);
+  parser.eager(true);
+  while (!parser.is_done()) {
+    Clock::time_point now = Clock::now();
+    if (now >= end + kFinish) {
+      Close();
+      throw CallError(Stage::Sent, true, "the answer does not end in time");
+    }
+    mStream.expires_at(std::min(end, now + aStall));
+    co_await ReadSome(parser);
+  }
   Response response = parser.release();
   mKeepsAlive = response.keep_alive();
   co_return response;
@@ -99,13 +139,21 @@
 Awaitable<Response> CallOnce(base::HostPort aTo,
                              Request aRequest,
                              std::chrono::milliseconds aTimeout)
+{
+  return CallOnce(std::move(aTo), std::move(aRequest), aTimeout, aTimeout);
+}
+
+Awaitable<Response> CallOnce(base::HostPort aTo,
+                             Request aRequest,
+                             std::chrono::milliseconds aTimeout,
+                             std::chrono::milliseconds aStall)
 {
   Connection connection(co_await asio::this_coro::executor);
   co_await connection.Connect(aTo, std::min(aTimeout, kConnectLimit));
   aRequest.set(http::field::host, aTo.mHost);
   aRequest.keep_alive(false);
   aRequest.prepare_payload();
-  co_return co_await connection.Call(aRequest, aTimeout);
+  co_return co_await connection.Call(aRequest, aTimeout, aStall);
 }
 
 } // namespace vanillaloft::net
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -11,6 +11,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include "base/settings.h"
@@ -72,12 +73,19 @@
   Awaitable<void> Connect(base::HostPort aTo, std::chrono::milliseconds aTimeout);
   // Sends a request and reads the whole answer; throws CallError at Stage::Sent.
   Awaitable<Response> Call(const Request& aRequest, std::chrono::milliseconds aTimeout);
+  // Also ends when nothing comes for aStall.
+  Awaitable<Response> Call(const Request& aRequest,
+                           std::chrono::milliseconds aTimeout,
+                           std::chrono::milliseconds aStall);
   // False once the peer has closed or sent something that was not asked for.
   bool IsIdle();
   // Ends a call that is under way; it then throws CallError.
   void Close() { mStream.close(); }
 
 private:
+  using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+  Awaitable<void> ReadSome(Parser& aParser);
+
   boost::beast::tcp_stream mStream;
   boost::beast::flat_buffer mBuffer;
   bool mKeepsAlive = false;
@@ -87,5 +95,9 @@
 Awaitable<Response> CallOnce(base::HostPort aTo,
                              Request aRequest,
                              std::chrono::milliseconds aTimeout);
+Awaitable<Response> CallOnce(base::HostPort aTo,
+                             Request aRequest,
+                             std::chrono::milliseconds aTimeout,
+                             std::chrono::milliseconds aStall);
 
 } // namespace vanillaloft::net
