--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -43,9 +43,16 @@
   { "log-level", "info", false, "debug, info, warning or error" },
 };
 
+// Throws base::SettingError.
 void SetLogLevel(const base::Settings& aSettings)
 {
-  spdlog::set_level(spdlog::level::from_str(aSettings.Text("log-level")));
+  const std::string& text = aSettings.Text("log-level");
+  spdlog::level::level_enum level = spdlog::level::from_str(text);
+  if (level == spdlog::level::off) {
+    throw base::SettingError(fmt::format(
+      "--log-level: '{}' is not accepted; give debug, info, warning or error", text));
+  }
+  spdlog::set_level(level);
 }
 
 entry::InstanceSettings ToInstanceSettings(const base::Settings& aSettings)
