An instance that is not ready does not say that an order with a ticket has not run

What callers saw: an order that ran at an instance which was then replaced got not-ready, a promise that it had not run, from the successor; a caller who believes it orders twice. Known red: process-order-new-incarnation, failed once. Cause: readiness is looked at before the ticket, and the refusal speaks for the request without knowing what the ticket's issuer did. Change: a request with a ticket that meets an instance which is not ready, also by way of a peer, gets outcome-unknown; without a ticket not-ready as before. Evidence: the new test fails before (405 instead of 507) and passes now, at every run, where the process test met the moment once.

--- a/src/entry/pipeline.cc
+++ b/src/entry/pipeline.cc
@@ -55,6 +55,14 @@
            : std::chrono::duration_cast<std::chrono::milliseconds>(aAge).count();
 }
 
+// An order with a ticket may have run at an earlier try, which an instance that is not
+// ready has not looked up.
+Result Promised(Result aCode, const Exchange& aExchange)
+{
+  bool lookedUp = aCode != Result::NotReady || aExchange.mTicket.empty();
+  return lookedUp ? aCode : Result::OutcomeUnknown;
+}
+
 bool MayRetry(const RequestError& aError, bool aOrder)
 {
   if (aError.Code() == Result::DeadlineBeforeStart ||
@@ -84,7 +92,7 @@
     if (base::Row(error.Code()).mRan == base::Ran::No) {
       TakeBackPayment(aExchange);
     }
-    Refuse(aExchange, error.Code(), outcome);
+    Refuse(aExchange, Promised(error.Code(), aExchange), outcome);
   }
   Record(aExchange, outcome);
   co_return outcome;
--- a/tests/unit/entry.cc
+++ b/tests/unit/entry.cc
@@ -194,6 +194,36 @@
   CHECK(fixture.ResultOf("GET", "/open", "") == Result::NotReady);
 }
 
+// Guards against a caller who is told that an order has not run, though it ran before the
+// instance that got it was replaced.
+TEST_CASE("an instance that is not ready promises nothing about an order with a ticket")
+{
+  Fixture fixture;
+  std::string ticket = *fixture.mCore.mLedger.Issue("lenient", fixture.mClock.Now());
+  Core successor(fixture.mContext,
+                 fixture.mClock,
+                 fixture.mCore.mSettings,
+                 { "127.0.0.1:2", 8 },
+                 "another secret");
+  successor.Accept(decide::ParseConfig(ConfigText(1, "strict key")));
+  REQUIRE_FALSE(successor.IsReady());
+  Admission admission(successor);
+  Backend backend(successor, fixture.mFormat);
+  Pipeline pipeline(successor, admission, backend);
+  auto resultOf = [&](const std::string& aTicket) {
+    Exchange exchange;
+    exchange.mMethod = "POST";
+    exchange.mTarget = "/order";
+    exchange.mHasKey = true;
+    exchange.mKey = "lenient key";
+    exchange.mTicket = aTicket;
+    exchange.mArrival = fixture.mClock.Now();
+    return test::Finish(fixture.mContext, pipeline.Serve(std::move(exchange))).mResult;
+  };
+  CHECK(resultOf(ticket) == Result::OutcomeUnknown);
+  CHECK(resultOf("") == Result::NotReady);
+}
+
 // Pattern: callers are refused for want of room and ask again at once.
 TEST_CASE("requests that did not run do not use up their organisation's limit")
 {
