--- a/src/entry/relay.cc
+++ b/src/entry/relay.cc
@@ -13,11 +13,6 @@
 
 constexpr std::chrono::milliseconds kBeatTimeout{ 1000 };
 constexpr std::chrono::milliseconds kFetchTimeout{ 2000 };
-// Changes come from the store within this time as a rule; after it a peer that knows more
-// is asked. One of another data centre is asked later, since bytes between them are dear.
-constexpr Duration kUsualLag = std::chrono::milliseconds(700);
-constexpr Duration kUsualLagElsewhere = 3 * kUsualLag;
-
 wire::Status ToWire(const decide::MemberStatus& aStatus)
 {
   wire::Status status;
@@ -61,27 +56,13 @@
   return status;
 }
 
-store::Item FromWire(const wire::Item& aItem)
-{
-  return { aItem.key(), aItem.value(), aItem.revision(), aItem.deleted() };
-}
-
 } // namespace
 
 template<typename Message>
 void Relay::FillBeat(Message& aMessage) const
 {
   *aMessage.mutable_status() = ToWire(mCore.Status());
-  for (std::size_t part = 0; part < store::kParts; ++part) {
-    const store::Replica& replica = mCore.mReplicas[part];
-    if (replica.IsListed()) {
-      wire::Reach* reach = aMessage.mutable_status()->add_reaches();
-      reach->set_part(static_cast<std::uint32_t>(part));
-      reach->set_complete(replica.At().mComplete);
-      reach->set_changed(replica.At().mChanged);
-      reach->set_age_ms(AgeOf(replica));
-    }
-  }
+  mReplication.Fill(*aMessage.mutable_status());
   for (const auto& [address, dataCentre] : mCore.mMembers.Addresses()) {
     wire::KnownAddress* known = aMessage.add_known();
     known->set_address(address);
@@ -89,87 +70,6 @@
   }
 }
 
-std::uint64_t Relay::AgeOf(const store::Replica& aReplica) const
-{
-  auto age = std::chrono::ceil<std::chrono::milliseconds>(mCore.Now() - *aReplica.AsOf());
-  return static_cast<std::uint64_t>(age.count());
-}
-
-// What a peer knows counts as that old when the peer was asked: how long its message was
-// under way is not known.
-void Relay::TakeReaches(const wire::Status& aStatus, std::optional<Instant> aAsked)
-{
-  for (const wire::Reach& wire : aStatus.reaches()) {
-    if (!mCore.mOnItems || wire.part() >= store::kParts) {
-      continue;
-    }
-    store::Replica& replica = mCore.mReplicas[wire.part()];
-    Lag& lag = mLags[wire.part()];
-    store::Reach reach{ wire.complete(), wire.changed() };
-    if (aAsked) {
-      Instant asOf = *aAsked - std::chrono::milliseconds(wire.age_ms());
-      mCore.NoteAnswer(asOf);
-      replica.Confirm(reach, asOf);
-    }
-    if (replica.IsListed() && !replica.Lacks(reach)) {
-      continue;
-    }
-    if (lag.mSince == Instant() || replica.At().mComplete >= lag.mRevision) {
-      lag.mRevision = reach.mChanged;
-      lag.mSince = mCore.Now();
-    }
-    bool here = aStatus.data_centre() == mCore.mSettings.mDataCentre;
-    Duration usual = here ? kUsualLag : kUsualLagElsewhere;
-    if (mCore.Now() - lag.mSince >= usual && !lag.mFetching) {
-      boost::asio::co_spawn(
-        mCore.mContext,
-        FetchItemsFrom(aStatus.address(), static_cast<store::Part>(wire.part())),
-        boost::asio::detached);
-    }
-  }
-}
-
-Awaitable<void> Relay::FetchItemsFrom(std::string aAddress, store::Part aPart)
-{
-  store::Replica& replica = mCore.ReplicaOf(aPart);
-  Lag& lag = mLags[static_cast<std::size_t>(aPart)];
-  lag.mFetching = true;
-  wire::ItemsRequest request;
-  request.set_part(static_cast<std::uint32_t>(aPart));
-  request.set_complete(replica.At().mComplete);
-  Instant asked = mCore.Now();
-  try {
-    wire::ItemsReply reply =
-      co_await mCore.mPeers.FetchItems(aAddress, std::move(request), kFetchTimeout);
-    if (reply.listed()) {
-      store::Difference difference;
-      difference.mWhole = reply.whole();
-      difference.mItems.mRevision = reply.complete();
-      for (const wire::Item& item : reply.items()) {
-        difference.mItems.mItems.push_back(FromWire(item));
-      }
-      Instant asOf = asked - std::chrono::milliseconds(reply.age_ms());
-      auto news = replica.Take(difference, asOf);
-      base::Log(spdlog::level::info,
-                base::Event::FeedRelayed,
-                "part={} peer={} items={} news={} whole={} revision={} age_ms={}",
-                static_cast<unsigned>(aPart),
-                aAddress,
-                difference.mItems.mItems.size(),
-                news.size(),
-                difference.mWhole,
-                reply.complete(),
-                reply.age_ms());
-      mCore.mOnItems(news);
-    }
-  } catch (const peer::PeerError& error) {
-    // The next heartbeat of a peer that knows more tries again.
-    spdlog::debug("items not fetched from {}: {}", aAddress, error.what());
-  }
-  lag.mFetching = false;
-  lag.mSince = mCore.Now();
-}
-
 // A peer's confirmation counts only while both have the same revision in force, and from
 // before the peer was asked: how long a message was under way is not known otherwise.
 void Relay::TakeConfirmation(const wire::Status& aStatus, Instant aAsked)
@@ -231,7 +131,7 @@
     wire::BeatReply reply =
       co_await mCore.mPeers.Beat(aAddress, std::move(request), kBeatTimeout);
     newer = TakeBeat(reply);
-    TakeReaches(reply.status(), asked);
+    mReplication.Take(reply.status(), asked);
     TakeConfirmation(reply.status(), asked);
   } catch (const peer::PeerError&) {
     co_return; // absence is noticed by the age of the last heartbeat
@@ -243,7 +143,7 @@
 
 Awaitable<wire::BeatReply> Relay::OnBeat(wire::BeatRequest aRequest)
 {
-  TakeReaches(aRequest.status(), std::nullopt);
+  mReplication.Take(aRequest.status(), std::nullopt);
   if (TakeBeat(aRequest)) {
     boost::asio::co_spawn(mCore.mContext,
                           FetchConfigFrom(aRequest.status().address()),
@@ -266,24 +166,7 @@
 
 Awaitable<wire::ItemsReply> Relay::OnFetchItems(wire::ItemsRequest aRequest)
 {
-  wire::ItemsReply reply;
-  if (aRequest.part() >= store::kParts || !mCore.mReplicas[aRequest.part()].IsListed()) {
-    co_return reply;
-  }
-  const store::Replica& replica = mCore.mReplicas[aRequest.part()];
-  store::Difference difference = replica.Since(aRequest.complete());
-  reply.set_listed(true);
-  reply.set_whole(difference.mWhole);
-  reply.set_complete(difference.mItems.mRevision);
-  reply.set_age_ms(AgeOf(replica));
-  for (store::Item& item : difference.mItems.mItems) {
-    wire::Item* sent = reply.add_items();
-    sent->set_key(std::move(item.mKey));
-    sent->set_value(std::move(item.mValue));
-    sent->set_revision(item.mRevision);
-    sent->set_deleted(item.mDeleted);
-  }
-  co_return reply;
+  co_return mReplication.Answer(aRequest);
 }
 
 Awaitable<wire::TokenReply> Relay::OnAskToken(wire::TokenRequest aRequest)
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -4,6 +4,7 @@
 
 #include "entry/core.h"
 #include "entry/pipeline.h"
+#include "entry/replication.h"
 
 namespace vanillaloft::entry {
 
@@ -13,6 +14,7 @@
   Relay(Core& aCore, Pipeline& aPipeline)
     : mCore(aCore)
     , mPipeline(aPipeline)
+    , mReplication(aCore)
   {
   }
 
@@ -38,26 +40,10 @@
   bool TakeBeat(const Message& aMessage);
   void TakeConfirmation(const peer::wire::Status& aStatus, Instant aAsked);
   Awaitable<void> FetchConfigFrom(std::string aAddress);
-  // Looks at how far a peer's copies of the store reach, and fetches what this instance
-  // has lacked for some time. aAsked: when the peer was asked; none if it spoke by
-  // itself.
-  void TakeReaches(const peer::wire::Status& aStatus, std::optional<Instant> aAsked);
-  // Milliseconds.
-  std::uint64_t AgeOf(const store::Replica& aReplica) const;
-  Awaitable<void> FetchItemsFrom(std::string aAddress, store::Part aPart);
-
-  // A change that a peer knew before this instance did.
-  struct Lag
-  {
-    std::uint64_t mRevision = 0;
-    Instant mSince{};
-    bool mFetching = false;
-  };
-
   Core& mCore;
   Pipeline& mPipeline;
   bool mFetching = false;
-  std::array<Lag, store::kParts> mLags;
+  Replication mReplication;
 };
 
 } // namespace vanillaloft::entry
