Skip late copies of answers and trust no refusal that may be an earlier one

What callers saw: a server that sent an earlier answer again, late, cost the next request on that connection its own answer (502, orders included). A refusal written again without an identifier was taken for the present request's: the caller was told "not run", or an order went to a second server while the first ran it.

Cause: one response was read for each request, and a response without an identifier always counted.

Change: responses to other requests are skipped (at most four) and the right one is awaited; a response without an identifier counts only as the first on its connection; a connection whose answer named no request is not kept. Interim responses (100 Continue) are skipped. Ruled out: answers that break off (length, chunks, neither) were complete or failed before, too.

Tests: entry_backend.cc and net.cc in tests/unit. Without the change to backend.cc the four tests of copies and refusals cannot hold, as each call ends at the first response (by reading; the old code was not run against them).

--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -22,6 +22,12 @@
     "ready",
     "The instance has a configuration, knows a holder of shares and answers look-ups." },
   EventInfo{ Event::Reloaded, "reloaded", "The settings were read again after SIGHUP." },
+  EventInfo{ Event::ReloadFailed,
+             "reload-failed",
+             "The settings could not be read again; those in use stay in force." },
+  EventInfo{ Event::TaskFailed,
+             "task-failed",
+             "An unexpected error ended a background task; loops start again." },
   EventInfo{ Event::ConfigurationInForce,
              "configuration-in-force",
              "A revision came into force." },
@@ -74,6 +80,9 @@
   EventInfo{ Event::DataCentreEvacuated,
              "data-centre-evacuated",
              "Operators evacuated a data centre or withdrew the evacuation." },
+  EventInfo{ Event::AnswerSkipped,
+             "answer-skipped",
+             "A backend server sent an answer to another request; it is dropped." },
   EventInfo{ Event::RunbookStep, "runbook-step", "A runbook advanced by a step." },
   EventInfo{ Event::RunbookWaits,
              "runbook-waits",
@@ -104,4 +113,13 @@
   return *found;
 }
 
+std::string Printable(std::string_view aText)
+{
+  constexpr std::size_t kMaxBytes = 200;
+  std::string text(aText.substr(0, kMaxBytes));
+  std::ranges::replace_if(
+    text, [](char c) { return c < ' ' || c > '~'; }, '?');
+  return aText.size() > kMaxBytes ? text + "..." : text;
+}
+
 } // namespace vanillaloft::base
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <span>
+#include <string>
 #include <string_view>
 
 #include <spdlog/spdlog.h>
@@ -18,6 +19,8 @@
   Stopped = 1004,
   Ready = 1005,
   Reloaded = 1006,
+  ReloadFailed = 1007,
+  TaskFailed = 1008,
   ConfigurationInForce = 2001,
   ConfigurationRefused = 2002,
   ConfigurationOlderIgnored = 2003,
@@ -36,6 +39,7 @@
   BackendServerState = 5001,
   ConnectionClosed = 5002,
   DataCentreEvacuated = 5003,
+  AnswerSkipped = 5004,
   RunbookStep = 6001,
   RunbookWaits = 6002,
   RunbookEnded = 6003,
@@ -53,6 +57,10 @@
 
 std::span<const EventInfo> AllEvents();
 
+// Makes a text of unknown origin fit for a log line: shortens a long one and replaces
+// bytes that are not printable ASCII characters.
+std::string Printable(std::string_view aText);
+
 // Returns the catalogue entry of an event. Throws std::out_of_range if the number is not
 // in the catalogue.
 const EventInfo& InfoOf(Event aEvent);
--- a/src/entry/backend.cc
+++ b/src/entry/backend.cc
@@ -16,6 +16,30 @@
 // period lets the response arrive.
 constexpr std::chrono::milliseconds kAnswerGrace{ 100 };
 constexpr std::size_t kMaxIdleConnections = 32; // per server
+// Responses to earlier requests that a call skips before it gives up the connection.
+constexpr unsigned kMaxSkippedAnswers = 4;
+
+// Why a call failed.
+struct Failure
+{
+  Result mResult;
+  const char* mCause;
+};
+
+bool NamesAnotherRequest(const Exchange& aExchange, const ServerAnswer& aAnswer)
+{
+  return !aAnswer.mRequestId.empty() && aAnswer.mRequestId != aExchange.mRequestId;
+}
+
+// A response without an identifier may be a late copy of an earlier one, unless it is the
+// first on its connection.
+bool IsAnswerTo(const Exchange& aExchange,
+                const ServerAnswer& aAnswer,
+                const net::Connection& aConnection)
+{
+  return aAnswer.mRequestId.empty() ? aConnection.ResponsesRead() == 1
+                                    : aAnswer.mRequestId == aExchange.mRequestId;
+}
 
 } // namespace
 
@@ -78,44 +102,65 @@
   if (aTarget.mMaySend && !aTarget.mMaySend()) {
     throw base::RequestError(Result::BackendServerLeft);
   }
-  net::Request request = mFormat.ToServer(aExchange, metadata);
   if (aExchange.mCaller && !aOrder) {
     aExchange.mCaller->mOnDisconnect = [&connection] { connection->Close(); };
   }
-  net::Response response;
-  bool timedOut = false;
-  bool lost = false;
+  ServerAnswer answer;
+  std::optional<Failure> failure;
   try {
-    response = co_await connection->Call(request, metadata.mTimeLeft + kAnswerGrace);
+    answer = co_await SendAndReadAnswer(aExchange, *connection, metadata);
   } catch (const net::CallError& error) {
-    timedOut = error.TimedOut();
-    lost = true;
+    failure = { error.TimedOut() ? Result::AnswerTimeout : Result::AnswerLost,
+                "no complete answer in time" };
   }
   if (aExchange.mCaller) {
     aExchange.mCaller->mOnDisconnect = nullptr;
   }
-  bool keepAlive = !lost && response.keep_alive();
-  ServerAnswer answer;
-  if (!lost) {
-    answer = mFormat.FromServer(std::move(response));
+  if (!failure && !IsAnswerTo(aExchange, answer, *connection)) {
+    failure = { Result::AnswerLost, "answer to another request" };
   }
-  bool wrongRequest =
-    !answer.mRequestId.empty() && answer.mRequestId != aExchange.mRequestId;
-  if (lost || wrongRequest) {
+  if (failure) {
     base::Log(spdlog::level::warn,
               base::Event::ConnectionClosed,
               "server={} request={} cause={}",
               aTarget.mName,
               aExchange.mRequestId,
-              wrongRequest ? "answer to another request" : "no complete answer in time");
-    throw base::RequestError(timedOut ? Result::AnswerTimeout : Result::AnswerLost);
+              failure->mCause);
+    throw base::RequestError(failure->mResult);
   }
-  if (keepAlive && answer.mGenuine) {
+  if (answer.mGenuine && !answer.mRequestId.empty() && connection->IsReusable()) {
     KeepIdle(aTarget.mName, std::move(connection));
   }
   co_return answer;
 }
 
+// A faulty server may send an earlier response again, late, where the next one is
+// expected. Such copies are skipped, because the right response follows them.
+Awaitable<ServerAnswer> BackendClient::SendAndReadAnswer(
+  const Exchange& aExchange,
+  net::Connection& aConnection,
+  const AttemptMetadata& aMetadata) const
+{
+  net::Request request = mFormat.ToServer(aExchange, aMetadata);
+  net::Response response =
+    co_await aConnection.Call(request, aMetadata.mTimeLeft + kAnswerGrace);
+  ServerAnswer answer = mFormat.FromServer(std::move(response));
+  for (unsigned skipped = 0; NamesAnotherRequest(aExchange, answer); ++skipped) {
+    base::Log(spdlog::level::warn,
+              base::Event::AnswerSkipped,
+              "server={} request={} answer_to={}",
+              aMetadata.mServerId,
+              aExchange.mRequestId,
+              answer.mRequestId);
+    if (skipped == kMaxSkippedAnswers) {
+      break;
+    }
+    response = co_await aConnection.ReadNext(TimeLeft(aExchange) + kAnswerGrace);
+    answer = mFormat.FromServer(std::move(response));
+  }
+  co_return answer;
+}
+
 // An order uses a new connection. The server may be closing an idle one at the same
 // moment, and the failure would leave the order's outcome unknown without need.
 Awaitable<decide::Outcome> BackendClient::Send(Exchange& aExchange,
--- a/src/entry/backend.h
+++ b/src/entry/backend.h
@@ -41,7 +41,8 @@
   {
   }
 
-  // Sends a request and reads the whole response. Throws RequestError: NotConnected or
+  // Sends a request and reads the whole response. Responses that belong to earlier
+  // requests of the connection are skipped. Throws RequestError: NotConnected or
   // BackendServerLeft if nothing was sent, otherwise AnswerTimeout or AnswerLost. The
   // call ends early with AnswerLost when the caller disconnects, unless the request is an
   // order.
@@ -65,6 +66,9 @@
 private:
   using ConnectionPtr = std::unique_ptr<net::Connection>;
 
+  Awaitable<ServerAnswer> SendAndReadAnswer(const Exchange& aExchange,
+                                            net::Connection& aConnection,
+                                            const AttemptMetadata& aMetadata) const;
   ConnectionPtr TakeIdle(const std::string& aServer);
   Awaitable<ConnectionPtr> Connect(BackendTarget aTarget, ConnectionReuse aReuse);
   void KeepIdle(const std::string& aServer, ConnectionPtr aConnection);
--- a/src/net/http.cc
+++ b/src/net/http.cc
@@ -17,6 +17,7 @@
 
 namespace {
 
+using Clock = std::chrono::steady_clock;
 using Error = boost::system::error_code;
 
 constexpr std::size_t kReadBytes = 16UL * 1024;
@@ -85,6 +86,13 @@
   }
   ThrowOnError(error, Stage::Sent);
   mBuffer.commit(size);
+  ParseBuffer(aParser);
+}
+
+// Parses the received bytes. Bytes behind the end of the response stay in the buffer.
+void Connection::ParseBuffer(Parser& aParser)
+{
+  Error error;
   mBuffer.consume(aParser.put(mBuffer.data(), error));
   if (error != http::error::need_more) {
     ThrowOnError(error, Stage::Sent);
@@ -93,35 +101,62 @@
 
 // The stream's timeout only ends a read that waits for bytes. It never expires while
 // bytes keep arriving, so the loop checks the clock as well.
-Awaitable<Response> Connection::Call(const Request& aRequest,
-                                     std::chrono::milliseconds aTimeout,
-                                     std::chrono::milliseconds aStallTimeout)
+Awaitable<Response> Connection::ReadResponse(ReadLimits aLimits)
 {
-  using Clock = std::chrono::steady_clock;
-  Clock::time_point end = Clock::now() + aTimeout;
-  Error error;
-  mReusable = false;
-  mStream.expires_at(end);
-  co_await http::async_write(
-    mStream, aRequest, asio::redirect_error(asio::use_awaitable, error));
-  ThrowOnError(error, Stage::Sent);
   Parser parser;
   parser.body_limit(kMaxResponseBodyBytes);
-  parser.skip(aRequest.method() == http::verb::head);
+  parser.skip(aLimits.mWithoutBody);
   parser.eager(true);
+  if (mBuffer.size() > 0) {
+    ParseBuffer(parser);
+  }
   while (!parser.is_done()) {
     Clock::time_point now = Clock::now();
-    if (now >= end + kCompletionGrace) {
+    if (now >= aLimits.mEnd + kCompletionGrace) {
       Close();
       throw CallError(
         Stage::Sent, true, "the response did not complete within the time limit");
     }
-    mStream.expires_at(std::min(end, now + aStallTimeout));
+    mStream.expires_at(std::min(aLimits.mEnd, now + aLimits.mStall));
     co_await ReadSome(parser);
   }
-  Response response = parser.release();
-  mReusable = response.keep_alive();
-  co_return response;
+  co_return parser.release();
+}
+
+// Interim responses such as "100 Continue" are skipped.
+Awaitable<Response> Connection::ReadFinalResponse(ReadLimits aLimits)
+{
+  for (;;) {
+    Response response = co_await ReadResponse(aLimits);
+    if (http::to_status_class(response.result()) != http::status_class::informational) {
+      ++mResponsesRead;
+      mReusable = response.keep_alive();
+      co_return response;
+    }
+  }
+}
+
+Awaitable<Response> Connection::Call(const Request& aRequest,
+                                     std::chrono::milliseconds aTimeout,
+                                     std::chrono::milliseconds aStallTimeout)
+{
+  Error error;
+  mReusable = false;
+  mLimits = { Clock::now() + aTimeout,
+              aStallTimeout,
+              aRequest.method() == http::verb::head };
+  mStream.expires_at(mLimits.mEnd);
+  co_await http::async_write(
+    mStream, aRequest, asio::redirect_error(asio::use_awaitable, error));
+  ThrowOnError(error, Stage::Sent);
+  co_return co_await ReadFinalResponse(mLimits);
+}
+
+Awaitable<Response> Connection::ReadNext(std::chrono::milliseconds aTimeout)
+{
+  mReusable = false;
+  mLimits.mEnd = Clock::now() + aTimeout;
+  co_return co_await ReadFinalResponse(mLimits);
 }
 
 bool Connection::IsReusable()
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -77,6 +77,11 @@
   Awaitable<Response> Call(const Request& aRequest,
                            std::chrono::milliseconds aTimeout,
                            std::chrono::milliseconds aStallTimeout);
+  // Reads one more response, after one that did not belong to the request of the last
+  // call. Throws CallError at Stage::Sent.
+  Awaitable<Response> ReadNext(std::chrono::milliseconds aTimeout);
+  // Number of responses read from this connection, without interim ones.
+  std::size_t ResponsesRead() const { return mResponsesRead; }
   // True if another call may use the connection. False after a failed call, and once the
   // peer has closed the connection or sent bytes that no request asked for.
   bool IsReusable();
@@ -85,10 +90,23 @@
 
 private:
   using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+  // Time limits of the response that is being read.
+  struct ReadLimits
+  {
+    std::chrono::steady_clock::time_point mEnd;
+    std::chrono::milliseconds mStall{}; // longest time without bytes
+    bool mWithoutBody = false;          // the response to a HEAD request
+  };
+
   Awaitable<void> ReadSome(Parser& aParser);
+  void ParseBuffer(Parser& aParser);
+  Awaitable<Response> ReadResponse(ReadLimits aLimits);
+  Awaitable<Response> ReadFinalResponse(ReadLimits aLimits);
 
   boost::beast::tcp_stream mStream;
   boost::beast::flat_buffer mBuffer;
+  ReadLimits mLimits; // of the last call
+  std::size_t mResponsesRead = 0;
   bool mReusable = false;
 };
 
--- a/tests/unit/canned.h
+++ b/tests/unit/canned.h
@@ -1,8 +1,8 @@
-// Test helpers for HTTP clients: a server with a canned response, and running a
-// coroutine.
+// Test helpers for HTTP clients: servers with canned responses, and running a coroutine.
 #pragma once
 
 #include <string>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -53,6 +53,70 @@
   std::string mReceived;
 };
 
+// How a ScriptedServer ends its connection.
+enum class ServerClose : std::uint8_t
+{
+  Never, // keeps the connection open until the caller closes it
+  Finish,
+  Reset
+};
+
+// A loopback server in the test's io_context that accepts one connection and sends the
+// next of its scripted texts after the head of each request.
+class ScriptedServer
+{
+public:
+  ScriptedServer(boost::asio::io_context& aContext,
+                 std::vector<std::string> aTexts,
+                 ServerClose aClose = ServerClose::Never)
+    : mAcceptor(aContext, { boost::asio::ip::address_v4::loopback(), 0 })
+    , mTexts(std::move(aTexts))
+    , mClose(aClose)
+  {
+    boost::asio::co_spawn(aContext, Serve(), boost::asio::detached);
+  }
+
+  base::HostPort Address() const
+  {
+    return { "127.0.0.1", mAcceptor.local_endpoint().port() };
+  }
+  unsigned Requests() const { return mRequests; }
+
+private:
+  boost::asio::awaitable<void> Serve()
+  {
+    auto socket = co_await mAcceptor.async_accept(boost::asio::use_awaitable);
+    std::string received;
+    for (const std::string& text : mTexts) {
+      std::size_t head =
+        co_await boost::asio::async_read_until(socket,
+                                               boost::asio::dynamic_buffer(received),
+                                               "\r\n\r\n",
+                                               boost::asio::use_awaitable);
+      received.erase(0, head);
+      ++mRequests;
+      co_await boost::asio::async_write(
+        socket, boost::asio::buffer(text), boost::asio::use_awaitable);
+    }
+    if (mClose == ServerClose::Reset) {
+      socket.set_option(boost::asio::socket_base::linger(true, 0));
+      socket.close(); // the destructor would close without a reset
+    }
+    if (mClose == ServerClose::Never) {
+      co_await boost::asio::async_read_until(socket,
+                                             boost::asio::dynamic_buffer(received),
+                                             "\r\n\r\n",
+                                             boost::asio::use_awaitable);
+      ++mRequests;
+    }
+  }
+
+  boost::asio::ip::tcp::acceptor mAcceptor;
+  std::vector<std::string> mTexts;
+  ServerClose mClose;
+  unsigned mRequests = 0;
+};
+
 // Runs a coroutine to completion and returns its value; rethrows its exception.
 template<typename T>
 T RunCoroutine(boost::asio::io_context& aContext, boost::asio::awaitable<T> aCoroutine)
--- /dev/null
+++ b/tests/unit/entry_backend.cc
@@ -0,0 +1,192 @@
+// Unit tests of calls to backend servers that do not keep to the protocol.
+#include <doctest/doctest.h>
+
+#include <fmt/format.h>
+
+#include "base/clock.h"
+#include "canned.h"
+#include "entry/backend.h"
+#include "entry/direct.h"
+
+using namespace vanillaloft;
+using namespace vanillaloft::entry;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char* kConfig = R"({"revision":1,
+  "regions":[{"name":"r1","data_centres":["d1"]},{"name":"r2","data_centres":["d2"]}],
+  "organisations":[],"profiles":[{"name":"p"}],
+  "services":[{"name":"s","profile":"p","backend_servers":[],
+    "routes":[{"path":"/open","kind":"open"},{"path":"/order","kind":"order"}]}]})";
+// Routes with longer paths come first.
+constexpr std::size_t kOrderRoute = 0;
+constexpr std::size_t kOpenRoute = 1;
+
+// The response of a server of the native interface. No identifier if aRequest is empty.
+std::string Response(const std::string& aStatus,
+                     const std::string& aRequest,
+                     const std::string& aBody)
+{
+  std::string id = aRequest.empty() ? "" : "X-Request-Id: " + aRequest + "\r\n";
+  return fmt::format("HTTP/1.1 {}\r\n{}Content-Length: {}\r\n\r\n{}",
+                     aStatus,
+                     id,
+                     aBody.size(),
+                     aBody);
+}
+
+std::string Answer(const std::string& aRequest)
+{
+  return Response("200 OK", aRequest, "answer to " + aRequest);
+}
+
+std::string Refusal(const std::string& aRequest)
+{
+  return Response("503 Full\r\nX-Not-Run: 1", aRequest, "");
+}
+
+struct Fixture
+{
+  boost::asio::io_context mContext;
+  base::SystemClock mClock;
+  Core mCore{ mContext,
+              mClock,
+              { "d1", { "127.0.0.1", 1 }, "127.0.0.1:2", {}, "", 30s, 10s, 60s },
+              { "127.0.0.1:2", 7 },
+              "secret" };
+  NativeFormat mFormat;
+  BackendClient mBackend{ mCore, mFormat };
+
+  // Each request may be sent to two servers.
+  Fixture()
+  {
+    auto config = std::make_shared<decide::Config>(*decide::ParseConfig(kConfig));
+    for (decide::Route& route : config->mRoutes) {
+      route.mMaxServers = 2;
+    }
+    mCore.AcceptConfig(config);
+    mCore.mRetryBudget.Earn("s", 100, 10);
+  }
+
+  Exchange MakeExchange(const std::string& aRequest,
+                        std::size_t aRoute = kOpenRoute) const
+  {
+    Exchange exchange;
+    exchange.mMethod = aRoute == kOrderRoute ? "POST" : "GET";
+    exchange.mTarget = aRoute == kOrderRoute ? "/order" : "/open";
+    exchange.mTicket = "v1~127.9.9.9:1~1~1~grocer~99~00";
+    exchange.mRequestId = aRequest;
+    exchange.mConfig = mCore.Config();
+    exchange.mRoute = decide::RouteId(aRoute);
+    exchange.mService = decide::ServiceId(0);
+    exchange.mArrival = mClock.Now();
+    exchange.mDeadline = mClock.Now() + 2s;
+    return exchange;
+  }
+
+  // Calls the server on a kept connection if there is one. Returns the body of the
+  // answer, "not run", or the name of the result of a failed call.
+  std::string Call(const test::ScriptedServer& aServer, const std::string& aRequest)
+  {
+    Exchange exchange = MakeExchange(aRequest);
+    BackendTarget target{ "i-1", aServer.Address(), {} };
+    try {
+      ServerAnswer answer = test::RunCoroutine(
+        mContext, mBackend.Call(exchange, target, ConnectionReuse::Allowed, false));
+      return answer.mNotRun ? "not run" : answer.mOutcome.mBody;
+    } catch (const base::RequestError& error) {
+      return std::string(base::InfoOf(error.Code()).mName);
+    }
+  }
+
+  void Register(const std::string& aId,
+                const std::string& aDataCentre,
+                const base::HostPort& aAddress)
+  {
+    decide::Registration registration;
+    registration.mId = aId;
+    registration.mService = "s";
+    registration.mDataCentre = aDataCentre;
+    registration.mAddress = aAddress;
+    registration.mSlots = 4;
+    mCore.mFleet.Register(registration, mClock.Now());
+  }
+};
+
+} // namespace
+
+// Guards against an answer that reaches the caller of another request.
+TEST_CASE("a late second copy of an answer is skipped and the right answer delivered")
+{
+  Fixture fixture;
+  test::ScriptedServer server(fixture.mContext,
+                              { Answer("1"), Answer("1") + Answer("2"), Answer("3") });
+  CHECK(fixture.Call(server, "1") == "answer to 1");
+  CHECK(fixture.Call(server, "2") == "answer to 2");
+  CHECK(fixture.Call(server, "3") == "answer to 3");
+}
+
+TEST_CASE("a second copy that arrives with its answer ends the connection's use")
+{
+  Fixture fixture;
+  test::ScriptedServer first(fixture.mContext, { Answer("1") + Answer("1") });
+  CHECK(fixture.Call(first, "1") == "answer to 1");
+  test::ScriptedServer second(fixture.mContext, { Answer("2") });
+  CHECK(fixture.Call(second, "2") == "answer to 2");
+  CHECK(first.Requests() == 1);
+}
+
+// Guards against a "not run" for a request that the server runs.
+TEST_CASE("an earlier refusal written again is not taken for this request's")
+{
+  Fixture fixture;
+  test::ScriptedServer server(fixture.mContext,
+                              { Refusal("1"), Refusal("1") + Answer("2") });
+  CHECK(fixture.Call(server, "1") == "not run");
+  CHECK(fixture.Call(server, "2") == "answer to 2");
+}
+
+TEST_CASE("a refusal without an identifier counts only on a new connection")
+{
+  Fixture fixture;
+  test::ScriptedServer fresh(fixture.mContext, { Refusal("") });
+  CHECK(fixture.Call(fresh, "1") == "not run");
+  test::ScriptedServer kept(fixture.mContext, { Answer("2"), Refusal("") });
+  CHECK(fixture.Call(kept, "2") == "answer to 2");
+  CHECK(fixture.Call(kept, "3") == "answer-lost");
+}
+
+TEST_CASE("copies without end fail the call as an answer that may exist")
+{
+  Fixture fixture;
+  std::string copies;
+  for (int i = 0; i < 20; ++i) {
+    copies += Answer("1");
+  }
+  test::ScriptedServer server(fixture.mContext, { Answer("1"), copies });
+  CHECK(fixture.Call(server, "1") == "answer to 1");
+  CHECK(fixture.Call(server, "2") == "answer-lost");
+}
+
+// Guards against an order that runs at two servers because of a repeated refusal.
+TEST_CASE("after an earlier refusal written again no second server gets the order")
+{
+  Fixture fixture;
+  test::ScriptedServer faulty(fixture.mContext, { Answer("1"), Refusal("") });
+  test::ScriptedServer other(fixture.mContext, { Answer("2") });
+  fixture.Register("i-1", "d1", faulty.Address());
+  DirectPlacement direct(fixture.mCore, fixture.mBackend);
+  auto place = [&](const std::string& aRequest) {
+    Exchange exchange = fixture.MakeExchange(aRequest, kOrderRoute);
+    try {
+      return test::RunCoroutine(fixture.mContext, direct.Place(exchange)).mResult;
+    } catch (const base::RequestError& error) {
+      return error.Code();
+    }
+  };
+  CHECK(place("1") == Result::Ok);
+  fixture.Register("i-2", "d2", other.Address());
+  CHECK(place("2") == Result::AnswerLost);
+  CHECK(other.Requests() == 0);
+}
--- a/tests/unit/net.cc
+++ b/tests/unit/net.cc
@@ -109,3 +109,45 @@
                              "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhello");
   CHECK(FailedStageOf(context, partial.Address()) == net::Stage::Sent);
 }
+
+TEST_CASE("an interim response is skipped, the final one is returned")
+{
+  boost::asio::io_context context;
+  test::CannedServer server(
+    context,
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  net::Response response =
+    test::RunCoroutine(context, net::CallOnce(server.Address(), Get(), 2000ms));
+  CHECK(response.result() == http::status::ok);
+  CHECK(response.body() == "ok");
+}
+
+// Guards against half an answer that reaches the caller as a complete one.
+TEST_CASE("a response that breaks off fails, whatever tells its length")
+{
+  const std::vector<std::string> halves = {
+    "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhello",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel",
+    "HTTP/1.1 200 OK\r\nContent-",
+  };
+  for (const std::string& half : halves) {
+    for (auto close : { test::ServerClose::Finish, test::ServerClose::Reset }) {
+      boost::asio::io_context context;
+      test::ScriptedServer server(context, { half }, close);
+      CHECK(FailedStageOf(context, server.Address()) == net::Stage::Sent);
+    }
+  }
+}
+
+TEST_CASE("a response without a length ends with its connection, unless that is reset")
+{
+  const std::string unframed = "HTTP/1.1 200 OK\r\n\r\nhello";
+  boost::asio::io_context context;
+  test::ScriptedServer whole(context, { unframed }, test::ServerClose::Finish);
+  CHECK(
+    test::RunCoroutine(context, net::CallOnce(whole.Address(), Get(), 2000ms)).body() ==
+    "hello");
+  test::ScriptedServer broken(context, { unframed }, test::ServerClose::Reset);
+  CHECK(FailedStageOf(context, broken.Address()) == net::Stage::Sent);
+}
