Answer what was accepted before a planned stop ends, and survive unexpected errors

What callers saw: (1) a planned stop ended 100 ms after the last request in the pipeline. Connections not accepted yet were reset, and a request that had arrived in part was cut. (2) A refused request whose body was not read could lose its refusal to a reset. (3) A settings file that could not be read at SIGHUP ended the process; an unexpected error ended a background loop, e.g. the following of the store, for good and without a log line.

Change: Listener (split from the native interface, which is entry/native now) keeps its connections; the stop accepts what is established, closes the listening sockets, waits until each request that has arrived, also in part, is answered, and closes idle connections. Connections end by a short read of what the caller still sends. Background tasks run through entry/background: errors are logged (event 1008), loops start again. A reload that fails is logged (1007) and changes nothing. An item of the store that cannot be applied is logged and does not stop the rest of its batch; a registration that becomes unreadable names no server any more; a stored configuration that cannot be read no longer counts as confirmed.

--- a/src/daemon/follow.cc
+++ b/src/daemon/follow.cc
@@ -1,11 +1,9 @@
 #include "daemon/follow.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "entry/background.h"
 
 namespace vanillaloft::daemon {
 
-namespace asio = boost::asio;
 using base::Event;
 using base::Log;
 
@@ -35,15 +33,14 @@
   mCore.mOnItemsChanged = [this](const std::vector<store::Item>& aItems) {
     ApplyItems(aItems);
   };
-  asio::co_spawn(
-    mCore.mContext,
-    FollowPrefix(store::StoreSection::OperatorData, mDecoder.OperatorPrefix()),
-    asio::detached);
-  asio::co_spawn(
-    mCore.mContext,
-    FollowPrefix(store::StoreSection::Registrations, mDecoder.ServerPrefix()),
-    asio::detached);
-  asio::co_spawn(mCore.mContext, ConfirmConfigLoop(), asio::detached);
+  entry::SpawnLoop(mCore.mContext, "follow-operators", [this] {
+    return FollowPrefix(store::StoreSection::OperatorData, mDecoder.OperatorPrefix());
+  });
+  entry::SpawnLoop(mCore.mContext, "follow-registrations", [this] {
+    return FollowPrefix(store::StoreSection::Registrations, mDecoder.ServerPrefix());
+  });
+  entry::SpawnLoop(
+    mCore.mContext, "confirm-config", [this] { return ConfirmConfigLoop(); });
 }
 
 Awaitable<void> Follower::FollowPrefix(store::StoreSection aSection, std::string aPrefix)
@@ -138,10 +135,16 @@
       aCause);
 }
 
+// An item that fails must not keep the others from being applied, because the replica
+// has them already and reports no item twice.
 void Follower::ApplyItems(const std::vector<store::Item>& aItems)
 {
   for (const store::Item& item : aItems) {
-    ApplyItem(item);
+    try {
+      ApplyItem(item);
+    } catch (const std::exception& error) {
+      ApplyDecoded(UnreadableItem{ item.mKey + ": " + error.what(), {} });
+    }
   }
 }
 
@@ -193,8 +196,8 @@
         "server={} state=missing kept_ms={}",
         aServer.mId,
         Milliseconds(grace));
-    asio::co_spawn(
-      mCore.mContext, DeregisterAfterGrace(aServer.mId, grace), asio::detached);
+    entry::Spawn(
+      mCore.mContext, "lapsed-server", DeregisterAfterGrace(aServer.mId, grace));
     return;
   }
   Log(
@@ -230,7 +233,13 @@
 
 void Follower::ApplyDecoded(const UnreadableItem& aItem)
 {
-  Log(spdlog::level::warn, Event::ItemUnreadable, "cause={}", aItem.mCause);
+  Log(spdlog::level::warn,
+      Event::ItemUnreadable,
+      "cause={}",
+      base::Printable(aItem.mCause));
+  if (aItem.mServerId && mCore.mFleet.Servers().contains(*aItem.mServerId)) {
+    ApplyDecoded(ServerDeregistered{ *aItem.mServerId });
+  }
 }
 
 // Reads the configuration from the store when the last confirmation is too old. Peers
@@ -246,6 +255,21 @@
   }
 }
 
+// Applies the store's configuration. Returns true if it or a newer one is in force.
+// Otherwise the one in force may contain a key that the store's no longer has.
+bool Follower::ApplyConfig(const store::Item& aItem)
+{
+  DecodedItem decoded = mDecoder.Decode(aItem);
+  const auto* config = std::get_if<decide::ConfigPtr>(&decoded);
+  std::visit([this](const auto& aDecoded) { ApplyDecoded(aDecoded); }, decoded);
+  if (!config || !mCore.Config()) {
+    return false;
+  }
+  // A newer revision may have arrived while the store was being read.
+  return mCore.Config()->mRevision > (*config)->mRevision ||
+         mCore.Config()->mDigest == (*config)->mDigest;
+}
+
 // The confirmation counts from the time before the read was sent.
 Awaitable<void> Follower::ConfirmConfigOnce()
 {
@@ -256,8 +280,9 @@
     if (value.mVersion == 0) {
       co_return;
     }
-    ApplyItem({ mDecoder.ConfigKey(), std::move(value.mText), value.mVersion, false });
-    mCore.ConfirmRevision(mCore.Now() - requestedAt);
+    if (ApplyConfig({ mDecoder.ConfigKey(), value.mText, value.mVersion, false })) {
+      mCore.ConfirmRevision(mCore.Now() - requestedAt);
+    }
   } catch (const store::StoreError& error) {
     spdlog::debug("failed to confirm the configuration: {}", error.what());
     mCore.SetStoreAvailable(false);
--- a/src/daemon/follow.h
+++ b/src/daemon/follow.h
@@ -28,11 +28,12 @@
   std::string mDataCentre;
   bool mActive = false;
 };
-// An item that cannot be decoded or was written by another program. It is logged and
-// otherwise ignored.
+// An item that cannot be decoded or was written by another program. It is logged, and it
+// names no server to use.
 struct UnreadableItem
 {
   std::string mCause;
+  std::optional<std::string> mServerId; // if the item should be a registration
 };
 // The meaning of an item of the store.
 using DecodedItem = std::variant<decide::ConfigPtr,
@@ -101,6 +102,7 @@
   Awaitable<void> DeregisterAfterGrace(std::string aId, Duration aGrace);
   void ApplyItems(const std::vector<store::Item>& aItems);
   void ApplyItem(const store::Item& aItem);
+  bool ApplyConfig(const store::Item& aItem);
   void ApplyDecoded(const decide::ConfigPtr& aConfig);
   void ApplyDecoded(const decide::Registration& aRegistration);
   void ApplyDecoded(const ServerDeregistered& aServer);
--- a/src/daemon/instance.cc
+++ b/src/daemon/instance.cc
@@ -67,12 +67,26 @@
   , mLookUps(mCore, mPipeline)
   , mRelay(mCore, mPipeline)
   , mListener(mCore, aFormat)
-  , mLoops(mCore, mAdmission, mBackend, mLookUps, mRelay, *mStore)
+  , mLoops(mCore, mAdmission, mBackend, mLookUps, mRelay, mListener, *mStore)
   , mPeerServer(mContext, mRelay, aSettings.mPeerAddress)
 {
   AddSeeds(mCore.mMembers, aSettings.mSeeds);
 }
 
+// A settings file that cannot be read, e.g. because it is being written, changes nothing.
+void Reload(const std::function<void()>& aOnReload)
+{
+  try {
+    aOnReload();
+    base::Log(spdlog::level::info, base::Event::Reloaded, "");
+  } catch (const std::exception& error) {
+    base::Log(spdlog::level::err,
+              base::Event::ReloadFailed,
+              "cause={}",
+              base::Printable(error.what()));
+  }
+}
+
 void Instance::AwaitReload(asio::signal_set& aSignals,
                            const std::function<void()>& aOnReload)
 {
@@ -80,8 +94,7 @@
     if (aError) {
       return;
     }
-    base::Log(spdlog::level::info, base::Event::Reloaded, "");
-    aOnReload();
+    Reload(aOnReload);
     AwaitReload(aSignals, aOnReload);
   });
 }
--- a/src/daemon/instance.h
+++ b/src/daemon/instance.h
@@ -9,7 +9,8 @@
 #include "base/clock.h"
 #include "daemon/loops.h"
 #include "entry/direct.h"
-#include "entry/session.h"
+#include "entry/listener.h"
+#include "entry/native.h"
 #include "peer/peer.h"
 
 namespace vanillaloft::daemon {
@@ -54,6 +55,9 @@
                    const std::function<void()>& aOnReload);
 };
 
+// Reads the settings again by aOnReload and logs the result. Errors are logged as well.
+void Reload(const std::function<void()>& aOnReload);
+
 // Adds peer addresses from a list of "ip:port" or "ip:port@data-centre" entries separated
 // by commas. Throws base::SettingError.
 void AddSeeds(decide::Members& aMembers, const std::string& aSeeds);
--- a/src/daemon/loops.cc
+++ b/src/daemon/loops.cc
@@ -2,16 +2,15 @@
 
 #include <algorithm>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
+#include "entry/background.h"
 #include "store/keys.h"
 
 namespace vanillaloft::daemon {
 
-namespace asio = boost::asio;
 using base::Event;
 using base::Log;
+using entry::Spawn;
+using entry::SpawnLoop;
 
 namespace {
 
@@ -31,17 +30,23 @@
 
 } // namespace
 
+const Loops::LoopRow Loops::kLoops[] = {
+  { "tick", &Loops::TickLoop, false },
+  { "heartbeats", &Loops::HeartbeatLoop, false },
+  { "probes", &Loops::ProbeLoop, false },
+  { "announcement", &Loops::AnnounceLoop, false },
+  { "configuration", &Loops::WatchConfigLoop, true },
+  { "shares", &Loops::RenewSharesLoop, false },
+  { "instances", &Loops::ReadInstancesLoop, false },
+};
+
 void Loops::Start(ConfigSource aConfigSource)
 {
-  asio::co_spawn(mCore.mContext, TickLoop(), asio::detached);
-  asio::co_spawn(mCore.mContext, HeartbeatLoop(), asio::detached);
-  asio::co_spawn(mCore.mContext, ProbeLoop(), asio::detached);
-  asio::co_spawn(mCore.mContext, AnnounceLoop(), asio::detached);
-  if (aConfigSource == ConfigSource::OwnStore) {
-    asio::co_spawn(mCore.mContext, WatchConfigLoop(), asio::detached);
+  for (const LoopRow& row : kLoops) {
+    if (!row.mOwnStoreOnly || aConfigSource == ConfigSource::OwnStore) {
+      SpawnLoop(mCore.mContext, row.mName, [this, &row] { return (this->*row.mLoop)(); });
+    }
   }
-  asio::co_spawn(mCore.mContext, RenewSharesLoop(), asio::detached);
-  asio::co_spawn(mCore.mContext, ReadInstancesLoop(), asio::detached);
 }
 
 // Logs the peers that were alive at the last tick and no longer are.
@@ -82,14 +87,22 @@
 {
   for (const std::string& address : mCore.mMembers.HeartbeatTargets()) {
     if (mHeartbeatsInFlight.insert(address).second) {
-      asio::co_spawn(mCore.mContext, SendHeartbeat(address), asio::detached);
+      Spawn(mCore.mContext, "heartbeat", SendHeartbeat(address));
     }
   }
 }
 
 Awaitable<void> Loops::SendHeartbeat(std::string aAddress)
 {
-  co_await mRelay.SendHeartbeat(aAddress);
+  try {
+    co_await mRelay.SendHeartbeat(aAddress);
+  } catch (const std::exception& error) {
+    Log(spdlog::level::err,
+        Event::TaskFailed,
+        "task=heartbeat peer={} cause={}",
+        aAddress,
+        base::Printable(error.what()));
+  }
   mHeartbeatsInFlight.erase(aAddress);
 }
 
@@ -127,8 +140,7 @@
       if (mCore.mSteer.Views()[i]->mOwned) {
         const decide::BackendServer& server = mCore.Config()->mBackendServers[i];
         base::HostPort address{ server.mHost, server.mPort };
-        asio::co_spawn(
-          mCore.mContext, ProbeServer(server.mName, address), asio::detached);
+        Spawn(mCore.mContext, "probe", ProbeServer(server.mName, address));
       }
     }
     co_await mCore.Sleep(kProbeInterval);
@@ -152,7 +164,7 @@
     Log(spdlog::level::err,
         Event::ConfigurationRefused,
         "from=store cause={}",
-        error.what());
+        base::Printable(error.what()));
     co_return;
   }
   bool isCurrent =
@@ -361,13 +373,15 @@
     co_await mCore.Sleep(kTickInterval);
   }
   mCore.mStopped = true;
-  asio::co_spawn(mCore.mContext, ReleaseShares(), asio::detached);
+  mListener.StopAccepting();
+  Spawn(mCore.mContext, "release-shares", ReleaseShares());
   mHeartbeatsInFlight.clear();
   SendHeartbeats();
-  while (mCore.mRequestsInFlight > 0 && mCore.Now() < stopDeadline) {
+  do {
     co_await mCore.Sleep(kTickInterval);
-  }
-  co_await mCore.Sleep(kTickInterval);
+  } while ((mCore.mRequestsInFlight > 0 || mListener.HasUnanswered()) &&
+           mCore.Now() < stopDeadline);
+  mListener.CloseIdle();
   Log(spdlog::level::info, Event::Stopped, "");
 }
 
--- a/src/daemon/loops.h
+++ b/src/daemon/loops.h
@@ -8,6 +8,7 @@
 #include "entry/admission.h"
 #include "entry/backend.h"
 #include "entry/core.h"
+#include "entry/listener.h"
 #include "entry/lookup.h"
 #include "entry/relay.h"
 #include "store/store.h"
@@ -27,12 +28,14 @@
         entry::BackendClient& aBackend,
         entry::LookupHandler& aLookUps,
         entry::Relay& aRelay,
+        entry::Listener& aListener,
         store::Store& aStore)
     : mCore(aCore)
     , mAdmission(aAdmission)
     , mBackend(aBackend)
     , mLookUps(aLookUps)
     , mRelay(aRelay)
+    , mListener(aListener)
     , mStore(aStore)
   {
   }
@@ -48,11 +51,19 @@
   void Start(ConfigSource aConfigSource);
 
   // Performs the planned stop: look-ups no longer return this instance; it serves until
-  // cached look-up answers and tickets have expired and no request is in flight, and
-  // releases its shares. The stop timeout limits each of these waits.
+  // cached look-up answers and tickets have expired and each request that has arrived is
+  // answered, and releases its shares. The stop timeout limits each of these waits.
   Awaitable<void> Stop();
 
 private:
+  struct LoopRow
+  {
+    const char* mName;
+    Awaitable<void> (Loops::*mLoop)();
+    bool mOwnStoreOnly; // only for ConfigSource::OwnStore
+  };
+  static const LoopRow kLoops[];
+
   Awaitable<void> TickLoop();
   Awaitable<void> HeartbeatLoop();
   Awaitable<void> SendHeartbeat(std::string aAddress);
@@ -75,6 +86,7 @@
   entry::BackendClient& mBackend;
   entry::LookupHandler& mLookUps;
   entry::Relay& mRelay;
+  entry::Listener& mListener;
   store::Store& mStore;
   std::set<std::string> mAlivePeers;
   std::set<std::string> mHeartbeatsInFlight; // addresses with a heartbeat in flight
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -2,13 +2,12 @@
 #include <csignal>
 #include <iostream>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <spdlog/sinks/stdout_sinks.h>
 
 #include "base/settings.h"
 #include "daemon/instance.h"
 #include "daemon/runner.h"
+#include "entry/background.h"
 #include "platform/run.h"
 #include "platform/settings.h"
 #include "store/http.h"
@@ -95,7 +94,7 @@
   });
   daemon::RunbookRunner runner(instance.mCore, *instance.mStore);
   instance.mLoops.Start(daemon::Loops::ConfigSource::OwnStore);
-  boost::asio::co_spawn(instance.mContext, runner.Loop(), boost::asio::detached);
+  entry::SpawnLoop(instance.mContext, "runbooks", [&] { return runner.Loop(); });
   instance.Run([] {});
 }
 
--- a/src/entry/session.cc
+++ b/src/entry/listener.cc
@@ -1,17 +1,15 @@
-#include "entry/session.h"
+#include "entry/listener.h"
+
+#include <algorithm>
+#include <array>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include "entry/dump.h"
+#include "entry/background.h"
 
 namespace vanillaloft::entry {
 
@@ -24,6 +22,12 @@
 
 constexpr std::chrono::seconds kWriteTimeout{ 10 };
 constexpr std::chrono::milliseconds kAcceptRetryDelay{ 50 };
+// A new connection counts as busy for this long, because its first request is probably
+// on the way.
+constexpr Duration kFirstRequestTime = std::chrono::milliseconds(300);
+// Longest time for a caller to read the last response and to close the connection.
+constexpr std::chrono::milliseconds kLingerTime{ 500 };
+constexpr std::size_t kLingerReadBytes = 4096;
 // An idle connection is closed this much later than the configured idle time, which
 // callers are told, so that no request is in flight when the connection closes.
 constexpr Duration kIdleCloseMargin = std::chrono::seconds(2);
@@ -130,13 +134,49 @@
 {
   mEndpoints.push_back({ Acceptor(mCore.mContext), std::move(aHandler) });
   BindAndListen(mEndpoints.back().mAcceptor, aAt);
-  asio::co_spawn(mCore.mContext, AcceptConnections(mEndpoints.back()), asio::detached);
+  Spawn(mCore.mContext, "accept", AcceptConnections(mEndpoints.back()));
 }
 
-void Listener::Close()
+// Connections that the kernel has established but that were not accepted yet would be
+// reset with the listening socket.
+void Listener::StopAccepting()
 {
   for (Endpoint& endpoint : mEndpoints) {
-    endpoint.mAcceptor.close();
+    Error error;
+    endpoint.mAcceptor.non_blocking(true, error);
+    while (!error) {
+      Socket socket(mCore.mContext);
+      endpoint.mAcceptor.accept(socket, error);
+      if (!error) {
+        StartSession(std::move(socket), endpoint.mHandler);
+      }
+    }
+    endpoint.mAcceptor.close(error);
+  }
+}
+
+bool Listener::IsBusy(Session& aSession) const
+{
+  Error error;
+  bool hasPartialRequest = aSession.mParser && aSession.mParser->got_some();
+  bool isNew =
+    aSession.mRequests == 0 && mCore.Now() - aSession.mAcceptedAt < kFirstRequestTime;
+  return aSession.mAnswering || hasPartialRequest || isNew ||
+         aSession.mBuffer.size() > 0 || aSession.mStream.socket().available(error) > 0;
+}
+
+bool Listener::HasUnanswered()
+{
+  return std::ranges::any_of(mSessions,
+                             [&](Session& aSession) { return IsBusy(aSession); });
+}
+
+void Listener::CloseIdle()
+{
+  for (Session& session : mSessions) {
+    if (!IsBusy(session)) {
+      session.mStream.close();
+    }
   }
 }
 
@@ -151,40 +191,47 @@
     }
     if (error) {
       // E.g. out of file descriptors: keep serving open connections and retry.
-      asio::steady_timer retryTimer(mCore.mContext, kAcceptRetryDelay);
-      co_await retryTimer.async_wait(asio::use_awaitable);
+      co_await mCore.Sleep(kAcceptRetryDelay);
       continue;
     }
-    socket.set_option(asio::ip::tcp::no_delay(true), error);
-    net::EnableDeadPeerDetection(socket);
-    asio::co_spawn(mCore.mContext,
-                   ServeConnection(std::move(socket), aEndpoint.mHandler),
-                   asio::detached);
+    StartSession(std::move(socket), aEndpoint.mHandler);
   }
 }
 
-Awaitable<Listener::ReadOutcome> Listener::ReadRequest(Stream& aStream,
-                                                       beast::flat_buffer& aBuffer)
+void Listener::StartSession(Socket aSocket, const Handler& aHandler)
+{
+  Error error;
+  aSocket.set_option(asio::ip::tcp::no_delay(true), error);
+  net::EnableDeadPeerDetection(aSocket);
+  mSessions.emplace_back(std::move(aSocket), aHandler, mCore.Now());
+  Spawn(mCore.mContext, "connection", ServeConnection(std::prev(mSessions.end())));
+}
+
+Awaitable<Listener::ReadOutcome> Listener::ReadRequest(Session& aSession)
 {
   decide::CallerLimits limits;
   if (mCore.Config()) {
     limits = mCore.Config()->mLimits;
   }
-  http::request_parser<http::string_body> parser;
+  Parser parser;
   parser.header_limit(static_cast<std::uint32_t>(
     limits.mHeadBytes > 0 ? limits.mHeadBytes : kDefaultMaxHeadBytes));
   parser.body_limit(limits.mBodyBytes > 0 ? limits.mBodyBytes : kDefaultMaxBodyBytes);
-  auto read = std::make_shared<PendingRead>(PendingRead{ &aStream, false });
+  auto read = std::make_shared<PendingRead>(PendingRead{ &aSession.mStream, false });
   Duration limit = limits.mIdleTime > Duration::zero()
                      ? limits.mIdleTime + kIdleCloseMargin
                      : mCore.mSettings.mRequestTimeout;
   asio::steady_timer timer(mCore.mContext, limit);
   timer.async_wait(
     [read](const Error& aCancelled) { CancelOnTimeout(*read, aCancelled); });
-  aStream.expires_never();
+  aSession.mStream.expires_never();
+  aSession.mParser = &parser;
   Error error;
-  co_await http::async_read(
-    aStream, aBuffer, parser, asio::redirect_error(asio::use_awaitable, error));
+  co_await http::async_read(aSession.mStream,
+                            aSession.mBuffer,
+                            parser,
+                            asio::redirect_error(asio::use_awaitable, error));
+  aSession.mParser = nullptr;
   read->mStream = nullptr;
   timer.cancel();
   ReadOutcome outcome;
@@ -198,19 +245,18 @@
   co_return outcome;
 }
 
-Awaitable<net::Response> Listener::HandleRequest(Stream& aStream,
-                                                 const Handler& aHandler,
-                                                 net::Request aRequest)
+Awaitable<net::Response> Listener::HandleRequest(Session& aSession, net::Request aRequest)
 {
   Error error;
-  auto remote = aStream.socket().remote_endpoint(error).address();
+  Socket& socket = aSession.mStream.socket();
+  auto remote = socket.remote_endpoint(error).address();
   auto connection = std::make_shared<CallerConnection>();
   connection->mAddress = remote.is_v4() ? remote.to_v4().to_uint() : 0;
-  connection->mProbeClosed = [&aStream] { return PeerHasClosed(aStream.socket()); };
-  WatchForDisconnect(aStream.socket(), connection);
+  connection->mProbeClosed = [&socket] { return PeerHasClosed(socket); };
+  WatchForDisconnect(socket, connection);
   net::Response response;
   try {
-    response = co_await aHandler(std::move(aRequest), *connection);
+    response = co_await aSession.mHandler(std::move(aRequest), *connection);
   } catch (const std::exception& failure) {
     // It is unknown whether the request ran, so the result must not promise that it did
     // not.
@@ -219,25 +265,37 @@
     outcome.mResult = Result::AnswerLost;
     response = mFormat.ToCaller(std::move(outcome));
   }
-  aStream.socket().cancel(error);
+  socket.cancel(error);
   co_return response;
 }
 
-// Serves requests one after the other, also if they arrive pipelined. Closes the
-// connection after a request that could not be read completely, since the bytes that
-// follow it cannot be trusted.
-Awaitable<void> Listener::ServeConnection(asio::ip::tcp::socket aSocket,
-                                          const Handler& aHandler)
+// Lets the caller read the last response. Bytes that the caller still sends are read and
+// dropped, because closing a connection with unread bytes resets it, and a reset discards
+// the response.
+Awaitable<void> Listener::Linger(Stream& aStream)
 {
-  Stream stream(std::move(aSocket));
-  beast::flat_buffer buffer;
-  bool keepAlive = true;
   Error error;
-  while (keepAlive) {
-    ReadOutcome received = co_await ReadRequest(stream, buffer);
+  aStream.socket().shutdown(Socket::shutdown_send, error);
+  std::array<char, kLingerReadBytes> dropped;
+  aStream.expires_after(kLingerTime);
+  while (!error) {
+    co_await aStream.async_read_some(asio::buffer(dropped),
+                                     asio::redirect_error(asio::use_awaitable, error));
+  }
+}
+
+// Serves requests one after the other, also if they arrive pipelined. Returns after a
+// request that could not be read completely, since the bytes that follow it cannot be
+// trusted.
+Awaitable<void> Listener::ServeRequests(Session& aSession)
+{
+  for (bool keepAlive = true; keepAlive;) {
+    ReadOutcome received = co_await ReadRequest(aSession);
     if (received.mClosed) {
-      break;
+      co_return;
     }
+    aSession.mAnswering = true;
+    ++aSession.mRequests;
     net::Response response;
     keepAlive = false;
     if (received.mFailure != Result::Ok) {
@@ -246,73 +304,31 @@
       response = mFormat.ToCaller(std::move(refusal));
     } else {
       keepAlive = received.mRequest.keep_alive();
-      response = co_await HandleRequest(stream, aHandler, std::move(received.mRequest));
+      response = co_await HandleRequest(aSession, std::move(received.mRequest));
     }
     keepAlive = keepAlive && !mCore.mLeaving;
     response.keep_alive(keepAlive);
     response.prepare_payload();
-    stream.expires_after(kWriteTimeout);
+    aSession.mStream.expires_after(kWriteTimeout);
+    Error error;
     co_await http::async_write(
-      stream, response, asio::redirect_error(asio::use_awaitable, error));
+      aSession.mStream, response, asio::redirect_error(asio::use_awaitable, error));
+    aSession.mAnswering = false;
     if (error) {
-      break;
+      co_return;
     }
   }
-  stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
+  co_await Linger(aSession.mStream);
 }
 
-net::Response NativeApi::Lookup(const net::Request& aRequest, std::uint32_t aClient) const
+Awaitable<void> Listener::ServeConnection(std::list<Session>::iterator aSession)
 {
-  Exchange exchange = mFormat.FromCaller(aRequest);
-  decide::Outcome outcome;
   try {
-    if (!exchange.mHasKey) {
-      throw base::RequestError(Result::KeyMissing);
-    }
-    outcome.mBody = mLookUps.Handle(aRequest, aClient, exchange.mKey);
-    outcome.mResult = Result::Ok;
-    outcome.mStatus = unsigned(http::status::ok);
-    outcome.mContentType = "application/json";
-  } catch (const base::RequestError& error) {
-    outcome.mResult = error.Code();
-  }
-  return mFormat.ToCaller(std::move(outcome));
-}
-
-Awaitable<net::Response> NativeApi::HandleCaller(net::Request aRequest,
-                                                 CallerConnection& aConnection)
-{
-  if (ToStringView(aRequest.target()).starts_with("/v1/lookup")) {
-    co_return Lookup(aRequest, aConnection.mAddress);
-  }
-  Exchange exchange = mFormat.FromCaller(std::move(aRequest));
-  exchange.mRequestId = fmt::format("{:x}-{}", mCore.Self().mStartId, ++mRequestCount);
-  exchange.mArrival = mCore.Now();
-  exchange.mCaller = &aConnection;
-  co_return mFormat.ToCaller(co_await mPipeline.Serve(std::move(exchange)));
-}
-
-Awaitable<net::Response> NativeApi::HandleOperator(net::Request aRequest)
-{
-  net::Response response(http::status::ok, net::kHttp11);
-  std::string_view target = ToStringView(aRequest.target());
-  if (target == "/state") {
-    response.set(http::field::content_type, "application/json");
-    response.body() = DumpState(mCore);
-  } else if (target == "/metrics") {
-    RefreshGauges(mCore);
-    response.set(http::field::content_type, "text/plain; version=0.0.4");
-    response.body() = mCore.mMetrics.Text();
-  } else if (target == "/ready") {
-    response.result(mCore.IsReady() ? http::status::ok
-                                    : http::status::service_unavailable);
-    response.body() = mCore.IsReady() ? "ready\n" : "not ready\n";
-  } else {
-    decide::Outcome refusal;
-    refusal.mResult = Result::UnknownRoute;
-    response = mFormat.ToCaller(std::move(refusal));
+    co_await ServeRequests(*aSession);
+  } catch (const std::exception& failure) {
+    base::Log(spdlog::level::err, base::Event::RequestBroken, "cause={}", failure.what());
   }
-  co_return response;
+  mSessions.erase(aSession);
 }
 
 } // namespace vanillaloft::entry
--- /dev/null
+++ b/src/entry/listener.h
@@ -0,0 +1,96 @@
+// HTTP/1.1 server side: listening sockets and connections.
+#pragma once
+
+#include <functional>
+#include <list>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include "entry/core.h"
+#include "entry/format.h"
+
+namespace vanillaloft::entry {
+
+// Limits on requests where the configuration sets none.
+constexpr std::size_t kDefaultMaxHeadBytes = 16UL * 1024;
+constexpr std::size_t kDefaultMaxBodyBytes = 1024UL * 1024;
+
+// Serves the requests of one listening address. The CallerConnection is valid until the
+// response is returned.
+using Handler = std::function<Awaitable<net::Response>(net::Request, CallerConnection&)>;
+
+// Accepts connections, reads requests, passes them to a Handler and writes the responses.
+class Listener
+{
+public:
+  Listener(Core& aCore, const Format& aFormat);
+
+  // Binds an address and accepts connections until StopAccepting. Throws
+  // std::system_error.
+  void Open(const base::HostPort& aAt, Handler aHandler);
+  // Accepts the connections that are established already and closes the listening
+  // sockets.
+  void StopAccepting();
+  // True while a request that has arrived, also in part, has no complete response, and
+  // for a short time after a connection was accepted, because its request may be on the
+  // way.
+  bool HasUnanswered();
+  // Closes all connections that have no request in progress.
+  void CloseIdle();
+
+private:
+  using Socket = boost::asio::ip::tcp::socket;
+  using Acceptor = boost::asio::ip::tcp::acceptor;
+  using Stream = boost::beast::tcp_stream;
+  using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  struct Endpoint
+  {
+    Acceptor mAcceptor;
+    Handler mHandler;
+  };
+  // An open connection.
+  struct Session
+  {
+    Session(Socket aSocket, const Handler& aHandler, Instant aAcceptedAt)
+      : mStream(std::move(aSocket))
+      , mHandler(aHandler)
+      , mAcceptedAt(aAcceptedAt)
+    {
+    }
+
+    Stream mStream;
+    const Handler& mHandler;
+    Instant mAcceptedAt;
+    boost::beast::flat_buffer mBuffer;
+    const Parser* mParser = nullptr; // set while a request is read
+    bool mAnswering = false;         // from the end of a request to that of its response
+    unsigned mRequests = 0;          // read so far
+  };
+  // Result of reading one request.
+  struct ReadOutcome
+  {
+    Result mFailure = Result::Ok; // other than Ok: refuse the request with this code
+    bool mClosed = false;         // close the connection without a response
+    net::Request mRequest;
+  };
+
+  Awaitable<void> AcceptConnections(Endpoint& aEndpoint);
+  void StartSession(Socket aSocket, const Handler& aHandler);
+  Awaitable<void> ServeConnection(std::list<Session>::iterator aSession);
+  Awaitable<void> ServeRequests(Session& aSession);
+  Awaitable<ReadOutcome> ReadRequest(Session& aSession);
+  Awaitable<net::Response> HandleRequest(Session& aSession, net::Request aRequest);
+  static Awaitable<void> Linger(Stream& aStream);
+  bool IsBusy(Session& aSession) const;
+
+  Core& mCore;
+  const Format& mFormat;
+  std::list<Endpoint> mEndpoints;
+  std::list<Session> mSessions;
+};
+
+} // namespace vanillaloft::entry
--- a/tests/unit/daemon.cc
+++ b/tests/unit/daemon.cc
@@ -9,6 +9,7 @@
 #include "canned.h"
 #include "daemon/follow.h"
 #include "daemon/instance.h"
+#include "entry/background.h"
 
 using namespace vanillaloft;
 using namespace std::chrono_literals;
@@ -141,6 +142,12 @@
     if (aItem.mDeleted) {
       return daemon::ServerDeregistered{ id };
     }
+    if (aItem.mValue == "throw") {
+      throw std::runtime_error("an unexpected error");
+    }
+    if (aItem.mValue == "unreadable") {
+      return daemon::UnreadableItem{ "unreadable", id };
+    }
     decide::Registration registration;
     registration.mId = id;
     registration.mDraining = aItem.mValue == "draining";
@@ -313,3 +320,49 @@
   CHECK(
     pair.RunUntil([&] { return pair.mB.HasServer("i-1") && pair.mB.HasServer("i-2"); }));
 }
+
+// Guards against following that ends, or loses items, because of one odd entry.
+TEST_CASE("an item that cannot be applied does not keep the others from being applied")
+{
+  InstancePair pair;
+  pair.mContent.Write("servers/i-1", "throw");
+  pair.mContent.Write("servers/i-2", "ready");
+  CHECK(pair.RunUntil([&] { return pair.mA.HasServer("i-2"); }));
+  pair.mContent.Write("servers/i-3", "throw");
+  pair.mContent.Write("servers/i-4", "ready");
+  CHECK(pair.RunUntil([&] { return pair.mA.HasServer("i-4"); }));
+  CHECK_FALSE(pair.mA.HasServer("i-1"));
+}
+
+TEST_CASE("a registration that becomes unreadable names no server any more")
+{
+  InstancePair pair;
+  pair.mContent.Write("servers/i-1", "ready");
+  REQUIRE(pair.RunUntil([&] { return pair.mA.HasServer("i-1"); }));
+  pair.mContent.Write("servers/i-1", "unreadable");
+  CHECK(pair.RunUntil([&] { return !pair.mA.HasServer("i-1"); }));
+}
+
+TEST_CASE("settings that cannot be read at a reload do not end the process")
+{
+  bool called = false;
+  CHECK_NOTHROW(daemon::Reload([&] {
+    called = true;
+    throw base::SettingError("the file is being written");
+  }));
+  CHECK(called);
+}
+
+TEST_CASE("a background loop goes on after an unexpected error")
+{
+  asio::io_context context;
+  int runs = 0;
+  entry::SpawnLoop(context, "test", [&]() -> Awaitable<void> {
+    if (++runs == 1) {
+      throw std::runtime_error("an unexpected error");
+    }
+    co_return;
+  });
+  context.run();
+  CHECK(runs == 2);
+}
--- a/tests/unit/entry.cc
+++ b/tests/unit/entry.cc
@@ -7,9 +7,9 @@
 #include "canned.h"
 #include "entry/direct.h"
 #include "entry/dump.h"
+#include "entry/listener.h"
 #include "entry/lookup.h"
 #include "entry/pipeline.h"
-#include "entry/session.h"
 
 using namespace vanillaloft;
 using namespace vanillaloft::entry;
