Cancel peer calls in flight before their io_context is gone

Evidence: the new test "a client that is destroyed ends its calls in flight first" on the old code under the address sanitizer (arm64): heap-use-after-free in the completion callback of Client::Call, on a thread of gRPC's callback queue, of memory freed by the destruction of the client.

Change: the client's destructor cancels its calls and waits until gRPC has completed each; a completion moves the waiting coroutine to the io_context's thread before the call counts as completed.

--- a/src/peer/peer.cc
+++ b/src/peer/peer.cc
@@ -1,5 +1,10 @@
 #include "peer/peer.h"
 
+#include <algorithm>
+#include <condition_variable>
+#include <mutex>
+#include <set>
+
 #include <boost/asio/async_result.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -21,6 +26,7 @@
 constexpr int kMaxReconnectBackoffMs = 1000;
 constexpr std::chrono::seconds kShutdownTimeout{ 1 };
 constexpr int kMaxServerThreads = 4;
+constexpr std::uint64_t kMaxWireMilliseconds = 24ULL * 3600 * 1000;
 
 // State of a call, which must stay alive until gRPC invokes the completion callback.
 template<typename Request, typename Reply>
@@ -33,6 +39,42 @@
 
 } // namespace
 
+std::chrono::milliseconds TimeFromWire(std::uint64_t aMilliseconds)
+{
+  return std::chrono::milliseconds(std::min(aMilliseconds, kMaxWireMilliseconds));
+}
+
+// The calls that gRPC has not completed yet. Used from the io_context's thread and from
+// gRPC's threads.
+class Client::PendingCalls
+{
+public:
+  void Add(grpc::ClientContext* aCall)
+  {
+    std::lock_guard lock(mMutex);
+    mCalls.insert(aCall);
+  }
+  void Remove(grpc::ClientContext* aCall)
+  {
+    std::lock_guard lock(mMutex);
+    mCalls.erase(aCall);
+    mRemoved.notify_all();
+  }
+  void CancelAll()
+  {
+    std::unique_lock lock(mMutex);
+    for (grpc::ClientContext* call : mCalls) {
+      call->TryCancel();
+    }
+    mRemoved.wait(lock, [&] { return mCalls.empty(); });
+  }
+
+private:
+  std::mutex mMutex;
+  std::condition_variable mRemoved;
+  std::set<grpc::ClientContext*> mCalls;
+};
+
 class Server::Service final : public wire::Peer::CallbackService
 {
 public:
@@ -125,6 +167,17 @@
   mServer->Shutdown(std::chrono::system_clock::now() + kShutdownTimeout);
 }
 
+Client::Client(asio::io_context& aContext)
+  : mContext(aContext)
+  , mPending(std::make_shared<PendingCalls>())
+{
+}
+
+Client::~Client()
+{
+  mPending->CancelAll();
+}
+
 Client::Peer& Client::FindOrCreatePeer(const std::string& aAddress)
 {
   auto found = mPeers.find(aAddress);
@@ -161,9 +214,15 @@
   state->mContext.set_deadline(std::chrono::system_clock::now() + aTimeout);
   auto initiate = [&](auto aHandler) {
     auto handler = std::make_shared<decltype(aHandler)>(std::move(aHandler));
-    auto onDone = [this, state, handler](grpc::Status aStatus) {
-      asio::post(mContext, [handler, aStatus] { (*handler)(aStatus); });
+    // The handler is moved to the io_context's thread, where a coroutine must be resumed
+    // and destroyed. Nothing of the client is used after the call is removed.
+    auto onDone = [&context = mContext, pending = mPending, state, handler](
+                    grpc::Status aStatus) mutable {
+      asio::post(context,
+                 [handler = std::move(handler), aStatus] { (*handler)(aStatus); });
+      pending->Remove(&state->mContext);
     };
+    mPending->Add(&state->mContext);
     (peer.mStub->async()->*aMethod)(
       &state->mContext, &state->mRequest, &state->mReply, onDone);
   };
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -16,6 +16,10 @@
 
 namespace vanillaloft::peer {
 
+// Converts a time of a message. Longer times than a day are limited to one, so that
+// calculations with them cannot overflow.
+std::chrono::milliseconds TimeFromWire(std::uint64_t aMilliseconds);
+
 template<typename T>
 using Awaitable = boost::asio::awaitable<T>;
 
@@ -74,10 +78,12 @@
 class Client
 {
 public:
-  explicit Client(boost::asio::io_context& aContext)
-    : mContext(aContext)
-  {
-  }
+  explicit Client(boost::asio::io_context& aContext);
+  // Cancels the calls in flight and waits until gRPC has completed them, because each
+  // completion is posted to the io_context.
+  ~Client();
+  Client(const Client&) = delete;
+  Client& operator=(const Client&) = delete;
 
   // All calls throw PeerError.
   Awaitable<wire::BeatReply> Beat(std::string aAddress,
@@ -97,6 +103,7 @@
                                         std::chrono::milliseconds aTimeout);
 
 private:
+  class PendingCalls;
   struct Peer
   {
     std::shared_ptr<grpc::Channel> mChannel;
@@ -112,6 +119,7 @@
                         Method aMethod);
 
   boost::asio::io_context& mContext;
+  std::shared_ptr<PendingCalls> mPending;
   std::map<std::string, Peer> mPeers;
 };
 
--- a/tests/unit/peer.cc
+++ b/tests/unit/peer.cc
@@ -1,7 +1,11 @@
 // Unit tests of the calls between entry instances.
 #include <doctest/doctest.h>
 
+#include <thread>
+
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
 
 #include "canned.h"
 #include "peer/peer.h"
@@ -14,6 +18,8 @@
 
 constexpr const char* kAddress = "127.0.0.1:47391";
 constexpr int kMaxRetries = 200;
+constexpr const char* kSilent = "silent"; // TestHandler answers this order late
+constexpr auto kSilence = 1800ms;
 
 class TestHandler final : public peer::Handler
 {
@@ -43,6 +49,11 @@
   }
   peer::Awaitable<wire::ForwardReply> OnForward(wire::ForwardRequest aRequest) override
   {
+    if (aRequest.body() == kSilent) {
+      boost::asio::steady_timer silence(co_await boost::asio::this_coro::executor,
+                                        kSilence);
+      co_await silence.async_wait(boost::asio::use_awaitable);
+    }
     wire::ForwardReply reply;
     reply.set_body(aRequest.body());
     co_return reply;
@@ -113,3 +124,45 @@
   peer::Server server(context, handler, kAddress);
   CHECK_THROWS(peer::Server(context, handler, kAddress));
 }
+
+// Guards against the end of a process while gRPC completes a call: the completion was
+// posted to an io_context that no longer existed.
+TEST_CASE("a client that is destroyed ends its calls in flight first")
+{
+  boost::asio::io_context serverContext;
+  TestHandler handler;
+  peer::Server server(serverContext, handler, kAddress);
+  std::thread serving([&] {
+    auto work = boost::asio::make_work_guard(serverContext);
+    serverContext.run();
+  });
+  bool ended = false;
+  auto context = std::make_unique<boost::asio::io_context>();
+  auto client = std::make_unique<peer::Client>(*context);
+  wire::TokenRequest token;
+  token.set_micro_tokens(1);
+  test::RunCoroutine(*context, AskTokenWhenConnected(*context, *client, token));
+  wire::ForwardRequest forward;
+  forward.set_body(kSilent);
+  boost::asio::co_spawn(*context,
+                        client->Forward(kAddress, forward, 1500ms),
+                        [&](std::exception_ptr aFailure, wire::ForwardReply) {
+                          ended = aFailure != nullptr;
+                        });
+  context->restart();
+  context->run_for(100ms);
+  REQUIRE_FALSE(ended);
+  client.reset();
+  context->run_for(500ms);
+  CHECK(ended);
+  context.reset();
+  std::this_thread::sleep_for(2s); // past the call's time limit
+  serverContext.stop();
+  serving.join();
+}
+
+TEST_CASE("times of messages are limited, so that they cannot overflow")
+{
+  CHECK(peer::TimeFromWire(1500) == 1500ms);
+  CHECK(peer::TimeFromWire(~0ULL) == 24h);
+}
