--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
   ninja-build python3 spin strace
 PACKAGES = $(BUILD_PACKAGES) $(TEST_PACKAGES)
 
-.PHONY: build install-packages demo test unit scenarios model explore process bench capacity asan \
+.PHONY: build install-packages demo test unit scenarios model explore fuzz process bench capacity asan \
   tsan format check-format tidy packages package-lists inventory
 
 # Installs only missing packages, so that a repeated run is safe and needs no network. Recommended packages
@@ -51,6 +51,10 @@
 explore: build
 	@$(BUILD)/tests/explore --seconds $(or $(SECONDS),60) --first-seed $(or $(SEED),1000)
 
+# Decodes INPUTS random inputs; SEED makes them repeatable.
+fuzz: build
+	@$(BUILD)/tests/fuzz --inputs $(or $(INPUTS),20000) --seed $(or $(SEED),1)
+
 process: build
 	@BUILD=$(BUILD) tools/process.sh
 
--- a/src/decide/fleet.cc
+++ b/src/decide/fleet.cc
@@ -21,6 +21,9 @@
 constexpr Seconds kDefaultResponseTime{ 0.25 };
 // Weight of the newest response in a server's mean response time.
 constexpr double kResponseTimeSmoothing = 0.1;
+// Limit of a reported load, in requests per slot. A server queues only a few, and an
+// absurd report must not keep it without requests for long.
+constexpr double kMaxLoadPerSlot = 4;
 // Weight of the newest report in the mean load.
 constexpr double kReportSmoothing = 0.2;
 // A server responds fast about an object for at least this long after a request for it.
@@ -344,7 +347,8 @@
   responseTime = responseTime > Duration::zero()
                    ? responseTime + std::chrono::duration_cast<Duration>(change)
                    : aResponseTime;
-  double total = double(aLoad.mRunning) + aLoad.mWaiting;
+  double total = std::min(double(aLoad.mRunning) + aLoad.mWaiting,
+                          kMaxLoadPerSlot * aServer->mRegistration.mSlots);
   // The server's count no longer includes the request of this response.
   double own = aServer->mInFlight > 0 ? aServer->mInFlight - 1 : 0;
   aServer->mOtherLoad = std::max(0.0, total - own);
--- a/src/decide/parse.cc
+++ b/src/decide/parse.cc
@@ -512,7 +512,7 @@
   json value;
   try {
     value = json::parse(aText);
-  } catch (const json::parse_error& error) {
+  } catch (const json::exception& error) {
     throw ConfigError(fmt::format("/: is not JSON: {}", error.what()));
   }
   std::shared_ptr<Config> config = Parser(Node(value, "")).Parse();
--- a/src/entry/relay.cc
+++ b/src/entry/relay.cc
@@ -2,8 +2,7 @@
 
 #include <algorithm>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "entry/background.h"
 
 namespace vanillaloft::entry {
 
@@ -13,6 +12,8 @@
 
 constexpr std::chrono::milliseconds kHeartbeatTimeout{ 1000 };
 constexpr std::chrono::milliseconds kConfigFetchTimeout{ 2000 };
+// Largest number of micro-tokens in one request; far above what any request needs.
+constexpr std::uint64_t kMaxTokenRequest = 1ULL << 50;
 
 wire::Status ToWire(const decide::MemberStatus& aStatus)
 {
@@ -49,7 +50,7 @@
   status.mRevision = aStatus.revision();
   status.mDigest = aStatus.digest();
   if (aStatus.has_confirmed_age_ms()) {
-    status.mConfirmedAge = std::chrono::milliseconds(aStatus.confirmed_age_ms());
+    status.mConfirmedAge = peer::TimeFromWire(aStatus.confirmed_age_ms());
   }
   status.mRemoteSlots.insert(aStatus.remote_slots().begin(),
                              aStatus.remote_slots().end());
@@ -79,7 +80,7 @@
   base::Revision current = mCore.Config() ? mCore.Config()->mRevision : 0;
   if (aStatus.revision() == current && aStatus.has_confirmed_age_ms()) {
     mCore.ConfirmRevision(mCore.Now() - aRequestedAt +
-                          std::chrono::milliseconds(aStatus.confirmed_age_ms()));
+                          peer::TimeFromWire(aStatus.confirmed_age_ms()));
   }
 }
 
@@ -113,12 +114,12 @@
     mCore.AcceptConfig(mCore.mSettings.mParseConfig(reply.text()));
   } catch (const peer::PeerError&) {
     // The next heartbeat retries.
-  } catch (const decide::ConfigError& error) {
+  } catch (const std::exception& error) {
     base::Log(spdlog::level::err,
               base::Event::ConfigurationRefused,
               "from={} cause={}",
               aAddress,
-              error.what());
+              base::Printable(error.what()));
   }
   mFetchingConfig = false;
 }
@@ -147,9 +148,7 @@
 {
   mReplication.HandlePeerStatus(aRequest.status(), std::nullopt);
   if (ApplyHeartbeat(aRequest)) {
-    boost::asio::co_spawn(mCore.mContext,
-                          FetchConfigFrom(aRequest.status().address()),
-                          boost::asio::detached);
+    Spawn(mCore.mContext, "fetch-config", FetchConfigFrom(aRequest.status().address()));
   }
   wire::BeatReply reply;
   FillHeartbeat(reply);
@@ -185,6 +184,9 @@
     co_return reply;
   }
   decide::BudgetId budget(static_cast<std::size_t>(found - budgets.begin()));
+  if (aRequest.micro_tokens() > kMaxTokenRequest) {
+    co_return reply;
+  }
   auto amount = static_cast<decide::MicroTokens>(aRequest.micro_tokens());
   if (aRequest.first_ask() && aRequest.data_centre() == mCore.mSettings.mDataCentre) {
     mCore.mShares.CountDemand(budget, amount, mCore.Now());
@@ -204,7 +206,7 @@
   exchange.mTicket = aRequest.ticket();
   exchange.mOrganisationName = aRequest.organisation();
   exchange.mArrival = mCore.Now();
-  exchange.mDeadline = mCore.Now() + std::chrono::milliseconds(aRequest.deadline_ms());
+  exchange.mDeadline = mCore.Now() + peer::TimeFromWire(aRequest.deadline_ms());
   wire::ForwardReply reply;
   try {
     mPipeline.Resolve(exchange);
--- a/src/entry/replication.cc
+++ b/src/entry/replication.cc
@@ -1,7 +1,6 @@
 #include "entry/replication.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "entry/background.h"
 
 namespace vanillaloft::entry {
 
@@ -56,7 +55,7 @@
     Lag& lag = mLags[reported.part()];
     store::ReplicaPosition position{ reported.complete(), reported.changed() };
     if (aRequestedAt) {
-      Instant asOf = *aRequestedAt - std::chrono::milliseconds(reported.age_ms());
+      Instant asOf = *aRequestedAt - peer::TimeFromWire(reported.age_ms());
       mCore.RecordStoreAnswer(asOf);
       replica.ConfirmCurrent(position, asOf);
     }
@@ -71,11 +70,8 @@
     bool sameDataCentre = aStatus.data_centre() == mCore.mSettings.mDataCentre;
     Duration delay = sameDataCentre ? kPeerFetchDelay : kRemotePeerFetchDelay;
     if (mCore.Now() - lag.mSince >= delay && !lag.mFetching) {
-      boost::asio::co_spawn(
-        mCore.mContext,
-        FetchItemsFrom(aStatus.address(),
-                       static_cast<store::StoreSection>(reported.part())),
-        boost::asio::detached);
+      auto section = static_cast<store::StoreSection>(reported.part());
+      Spawn(mCore.mContext, "fetch-items", FetchItemsFrom(aStatus.address(), section));
     }
   }
 }
@@ -94,7 +90,7 @@
   for (const wire::Item& item : aReply.items()) {
     delta.mBatch.mItems.push_back(FromWire(item));
   }
-  Instant asOf = aRequestedAt - std::chrono::milliseconds(aReply.age_ms());
+  Instant asOf = aRequestedAt - peer::TimeFromWire(aReply.age_ms());
   std::vector<store::Item> changes = mCore.ReplicaOf(aSection).ApplyDelta(delta, asOf);
   base::Log(spdlog::level::info,
             base::Event::FeedRelayed,
--- a/tests/unit/platform.cc
+++ b/tests/unit/platform.cc
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include <fmt/format.h>
+
 #include "canned.h"
 #include "platform/config.h"
 #include "platform/format.h"
@@ -185,6 +187,88 @@
   CHECK(std::get<daemon::Evacuation>(decoder.Decode(evacuated)).mActive);
 }
 
+// Guards against a process that ends, or no longer follows the store, because of one odd
+// entry among the registrations.
+TEST_CASE("numbers out of range, bad ports and deep nesting make an entry unreadable")
+{
+  platform::PlatformDecoder decoder = MakeDecoder();
+  auto entry = [](const std::string& aAddress,
+                  const std::string& aBorn,
+                  const std::string& aSlots,
+                  const std::string& aColdLeft) {
+    return fmt::format(
+      R"({{"address":"{}","born":{},"info":{{"service":"stock","zone":"ct-a","slots":{}}},)"
+      R"("status":{{"state":"ready","cold_left_s":{}}}}})",
+      aAddress,
+      aBorn,
+      aSlots,
+      aColdLeft);
+  };
+  const std::string good = "10.0.0.9:80";
+  CHECK(std::holds_alternative<decide::Registration>(
+    decoder.Decode(ServerItem(entry(good, "5", "8", "0")))));
+  constexpr std::size_t kDepth = 100'000;
+  std::string nested = std::string(kDepth, '[') + std::string(kDepth, ']');
+  for (const std::string& text : { entry("10.0.0.9:0", "5", "8", "0"),
+                                   entry("10.0.0.9:65536", "5", "8", "0"),
+                                   entry("10.0.0.9:-1", "5", "8", "0"),
+                                   entry("10.0.0.9:99999999999999999999", "5", "8", "0"),
+                                   entry("host:80", "5", "8", "0"),
+                                   entry(good, "-1", "8", "0"),
+                                   entry(good, "1.5", "8", "0"),
+                                   entry(good, "99999999999999999999", "8", "0"),
+                                   entry(good, "5", "4294967297", "0"),
+                                   entry(good, "5", "-8", "0"),
+                                   entry(good, "5", "1e300", "0"),
+                                   entry(good, "5", "8", "1e300"),
+                                   entry(good, "5", "8", "-1"),
+                                   entry(good, "5", "8", "1e999"),
+                                   entry(good, "5", "8", nested),
+                                   nested,
+                                   std::string(kDepth, '['),
+                                   "\"" + std::string(1'000'000, 'x') }) {
+    auto item = decoder.Decode(ServerItem(text));
+    REQUIRE(std::holds_alternative<daemon::UnreadableItem>(item));
+    CHECK(std::get<daemon::UnreadableItem>(item).mServerId == "i-1");
+  }
+}
+
+TEST_CASE("one item of a listing that cannot be read costs only itself")
+{
+  boost::asio::io_context context;
+  std::string body = R"({"items":[{"key":"servers/a","value":"YQ==","revision":3},
+    {"key":"servers/b","value":"%%%","revision":4},{"key":"servers/c","revision":-5},
+    {"key":7},"text",{"key":"servers/d","value":"ZA==","revision":6}],
+    "current_rev":9,"has_more":true})";
+  std::string head =
+    "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+  // The second page repeats the first, which must not be read for ever.
+  test::CannedServer server(context, head + body);
+  platform::PlatformStore store(server.Address());
+  CHECK_THROWS_AS(test::RunCoroutine(context, store.List("servers/")), store::StoreError);
+  body.replace(body.find("true"), 4, "false");
+  head = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+  test::CannedServer lastPage(context, head + body);
+  platform::PlatformStore other(lastPage.Address());
+  store::ItemBatch batch = test::RunCoroutine(context, other.List("servers/"));
+  REQUIRE(batch.mItems.size() == 2);
+  CHECK(batch.mItems[0].mKey == "servers/a");
+  CHECK(batch.mItems[1].mValue == "d");
+}
+
+TEST_CASE("a load report may contain more figures, and an odd one is ignored")
+{
+  platform::PlatformFormat format;
+  net::Response response = ServerResponse(http::status::ok);
+  response.set("Vanillaloft-Server-Load", "3,1,8,120");
+  REQUIRE(format.FromServer(response).mLoad);
+  CHECK(format.FromServer(response).mLoad->mSlots == 8);
+  for (const char* text : { "", "3", "3,1", "3,1,x", "-3,1,8", "99999999999,1,8" }) {
+    response.set("Vanillaloft-Server-Load", text);
+    CHECK_FALSE(format.FromServer(response).mLoad);
+  }
+}
+
 TEST_CASE("a forwarded request contains no hop-by-hop fields and no API key")
 {
   platform::PlatformFormat format;
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -73,6 +73,10 @@
   echo "== random schedules"
   check explore "$BUILD/tests/explore"
 fi
+if [ -x "$BUILD/tests/fuzz" ]; then
+  echo "== random inputs"
+  check fuzz "$BUILD/tests/fuzz"
+fi
 if [ -x "$BUILD/tests/bench" ]; then
   echo "== bench"
   check bench "$BUILD/tests/bench"
