Keep the ranking of an object's servers until the servers change

Cause (one of several): choosing a server ranked all servers of the fleet (812 there) four times over, with a logarithm for each, at each try, each 25 ms of a wait and each end of a request of the service.

Change: Fleet keeps a ranking by service, object and home regions until a server joins, leaves, drains, becomes suspect or stops being so, or the configuration or an evacuation changes; a retry that excludes servers ranks anew.

--- a/src/decide/fleet.cc
+++ b/src/decide/fleet.cc
@@ -52,6 +52,8 @@
 // the end of an outage is detected slightly late.
 constexpr Duration kLapseDetectionTime = std::chrono::seconds(1);
 constexpr Duration kRenewalGrace = std::chrono::milliseconds(1700);
+// Number of kept rankings above which all are dropped.
+constexpr std::size_t kMaxRankings = 4096;
 // Tolerance in slots, since the load of other instances is an estimate.
 constexpr double kSlotTolerance = 0.2;
 
@@ -98,6 +100,7 @@
   mConfig = std::move(aConfig);
   mOwn = mConfig->FindDataCentre(mOwnName);
   mBoundDemand = EstimateBoundDemand(*mConfig);
+  ForgetRankings();
   for (auto& [id, server] : mServers) {
     ResolveIds(*server);
   }
@@ -114,6 +117,7 @@
 
 void Fleet::Register(const Registration& aRegistration, Instant aNow)
 {
+  ForgetRankings();
   ServerPtr& server = mServers[aRegistration.mId];
   bool sameIncarnation = server && server->mRegistration.IsSameIncarnation(aRegistration);
   if (!sameIncarnation) {
@@ -137,11 +141,13 @@
   if (found != mServers.end()) {
     found->second->mGone = true;
     mServers.erase(found);
+    ForgetRankings();
   }
 }
 
 void Fleet::SetEvacuated(const std::string& aDataCentre, bool aEvacuated)
 {
+  ForgetRankings();
   if (aEvacuated) {
     mEvacuated.insert(aDataCentre);
   } else {
@@ -207,6 +213,36 @@
   return ranking;
 }
 
+void Fleet::ForgetRankings()
+{
+  mRankings.clear();
+  mRankingsUntil = Instant::max();
+}
+
+const Fleet::Ranking& Fleet::RankingOf(const PlacementQuery& aQuery, Instant aNow)
+{
+  if (!aQuery.mTried.empty()) {
+    mUnkeptRanking = RankServers(aQuery, aNow);
+    return mUnkeptRanking;
+  }
+  if (aNow >= mRankingsUntil || mRankings.size() >= kMaxRankings) {
+    ForgetRankings();
+  }
+  RankingKey key{
+    aQuery.mService, aQuery.mObject, aQuery.mRouteHomes, aQuery.mOrganisationHomes
+  };
+  auto [kept, added] = mRankings.try_emplace(std::move(key));
+  if (added) {
+    kept->second = RankServers(aQuery, aNow);
+    for (const auto& [id, server] : mServers) {
+      if (aNow < server->mSuspectUntil) {
+        mRankingsUntil = std::min(mRankingsUntil, server->mSuspectUntil);
+      }
+    }
+  }
+  return kept->second;
+}
+
 // While a server warms up, only one instance sends to it, at a limited rate.
 bool Fleet::IsWarmingUp(const Server& aServer, Instant aNow) const
 {
@@ -301,7 +337,7 @@
   if (!mConfig) {
     return {};
   }
-  Ranking ranking = RankServers(aQuery, aNow);
+  const Ranking& ranking = RankingOf(aQuery, aNow);
   const Candidate* selected = SelectCandidate(ranking, aQuery, aNow);
   if (!selected) {
     return { nullptr,
@@ -320,7 +356,7 @@
                                                       Instant aNow)
 {
   std::vector<CandidateState> states;
-  Ranking ranking = RankServers(aQuery, aNow);
+  const Ranking& ranking = RankingOf(aQuery, aNow);
   for (const Candidate& candidate : ranking.mCandidates) {
     Server& server = *candidate.mServer;
     std::optional<Duration> age;
@@ -368,11 +404,15 @@
   server.mFaultRate += kFaultSmoothing * ((fault ? 1.0 : 0.0) - server.mFaultRate);
   server.mFaultsInRow = fault ? server.mFaultsInRow + 1 : 0;
   if (fault && server.mFaultRate > kSuspectFaultRate) {
+    if (aNow >= server.mSuspectUntil) {
+      ForgetRankings();
+    }
     server.mSuspectUntil = aNow + kSuspectTime;
   }
   switch (aResult) {
     case SendResult::Gone:
       server.mGone = true;
+      ForgetRankings();
       break;
     case SendResult::Full:
       if (!HasFreeSlot(server, aNow)) {
--- a/src/decide/fleet.h
+++ b/src/decide/fleet.h
@@ -186,6 +186,16 @@
   static bool HasAffinity(const Server& aServer, std::uint64_t aObject, Instant aNow);
   static void RecordAffinity(Server& aServer, std::uint64_t aObject, Instant aNow);
   bool IsWarmingUp(const Server& aServer, Instant aNow) const;
+  // Identifies a ranking. Requests with the same key have the same candidates.
+  struct RankingKey
+  {
+    ServiceId mService;
+    std::string mObject;
+    std::vector<RegionId> mRouteHomes;
+    std::vector<RegionId> mOrganisationHomes;
+
+    auto operator<=>(const RankingKey&) const = default;
+  };
   // The candidates of an object, best first, and the fraction of such requests that
   // usually leaves the region.
   struct Ranking
@@ -200,6 +210,8 @@
                                    Instant aNow);
   Locality LocalityOf(const Server& aServer) const;
   Ranking RankServers(const PlacementQuery& aQuery, Instant aNow) const;
+  const Ranking& RankingOf(const PlacementQuery& aQuery, Instant aNow);
+  void ForgetRankings();
 
   std::string mOwnName;
   const Members& mMembers;
@@ -209,6 +221,11 @@
   std::map<std::string, ServerPtr> mServers; // by registered name
   std::set<std::string> mEvacuated;          // names of data centres
   ShiftLimiter mShiftLimiter;
+  // Rankings for the current servers. They are kept, because ranking takes time in
+  // proportion to the number of servers and a request may ask several times.
+  std::map<RankingKey, Ranking> mRankings;
+  Instant mRankingsUntil = Instant::max(); // when the first server is no longer suspect
+  Ranking mUnkeptRanking;                  // of the last query that excluded servers
 };
 
 // Estimates the requests that other instances have in flight at a server. The last
