Look-ups: each instance gets callers in proportion to its size

Cause: an answer named the asked instance and the first three of its data centre by address; the other instances of a data centre, large ones among them, got callers only when they were asked themselves.

--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -40,6 +40,7 @@
     "60000",
     false,
     "time limit for the planned stop, in milliseconds" },
+  { "weight", "1", false, "capacity for callers relative to other instances, 1 to 100" },
   { "log-level", "info", false, "debug, info, warning or error" },
 };
 
@@ -69,6 +70,7 @@
   settings.mPeerAddress = aSettings.Text("peer-listen");
   settings.mStore = aSettings.Address("store");
   settings.mSeeds = aSettings.Text("seeds");
+  settings.mWeight = static_cast<unsigned>(aSettings.Number("weight", 1, 100));
   settings.mTicketLifetime = aSettings.Milliseconds("ticket-ttl-ms", 100, 3'600'000);
   settings.mRequestTimeout = aSettings.Milliseconds("request-timeout-ms", 100, 600'000);
   settings.mStopTimeout = aSettings.Milliseconds("stop-timeout-ms", 0, 3'600'000);
--- a/src/decide/lookup.cc
+++ b/src/decide/lookup.cc
@@ -1,6 +1,12 @@
 #include "decide/lookup.h"
 
 #include <algorithm>
+#include <cmath>
+#include <iterator>
+
+#include <xxhash.h>
+
+#include "decide/uniform.h"
 
 namespace vanillaloft::decide {
 
@@ -8,6 +14,21 @@
 
 constexpr std::size_t kMaxInstances = 4; // in one response
 
+struct ScoredInstance
+{
+  double mScore = 0;
+  EntryInstance mInstance;
+};
+
+// Weighted rendezvous hashing: the probability that an instance has the highest score is
+// proportional to its weight.
+double ScoreOf(const EntryInstance& aInstance, std::uint32_t aClient)
+{
+  const std::string& address = aInstance.mAddress;
+  std::uint64_t hash = XXH3_64bits_withSeed(address.data(), address.size(), aClient);
+  return -double(aInstance.mWeight) / std::log(UniformHash(hash));
+}
+
 } // namespace
 
 void LookUp::Rebuild(ConfigPtr aConfig,
@@ -22,7 +43,8 @@
     DataCentreId at = mConfig->FindDataCentre(aStatus.mDataCentre);
     bool usable = aStatus.mReady && !aStatus.mLeaving && !at.IsNone();
     if (usable && !mConfig->mDataCentres[at.Value()].mDrained) {
-      local[at.Value()].push_back({ aStatus.mEntryAddress, 1 });
+      unsigned weight = std::max(1U, aStatus.mWeight);
+      local[at.Value()].push_back({ aStatus.mEntryAddress, weight });
     }
   };
   add(aSelf);
@@ -44,25 +66,33 @@
         fill(mInstances[i], mConfig->mDataCentres[i].mRegion, sameRegion);
       }
     }
-    mInstances[i].resize(std::min(mInstances[i].size(), kMaxInstances));
   }
 }
 
-std::span<const EntryInstance> LookUp::InstancesForClient(std::uint32_t aClient) const
+std::vector<EntryInstance> LookUp::InstancesForClient(std::uint32_t aClient) const
 {
   if (!mConfig) {
     return {};
   }
   DataCentreId nearest = mConfig->mClientBlocks.Find(aClient);
-  return InstancesForDataCentre(nearest.IsNone() ? mOwnDataCentre : nearest);
+  return InstancesForDataCentre(nearest.IsNone() ? mOwnDataCentre : nearest, aClient);
 }
 
-std::span<const EntryInstance> LookUp::InstancesForDataCentre(
-  DataCentreId aDataCentre) const
+std::vector<EntryInstance> LookUp::InstancesForDataCentre(DataCentreId aDataCentre,
+                                                          std::uint32_t aClient) const
 {
-  return aDataCentre.IsNone() || aDataCentre.Value() >= mInstances.size()
-           ? std::span<const EntryInstance>()
-           : mInstances[aDataCentre.Value()];
+  if (aDataCentre.IsNone() || aDataCentre.Value() >= mInstances.size()) {
+    return {};
+  }
+  std::vector<ScoredInstance> scored;
+  for (const EntryInstance& instance : mInstances[aDataCentre.Value()]) {
+    scored.push_back({ ScoreOf(instance, aClient), instance });
+  }
+  std::ranges::sort(scored, std::ranges::greater(), &ScoredInstance::mScore);
+  scored.resize(std::min(scored.size(), kMaxInstances));
+  std::vector<EntryInstance> chosen;
+  std::ranges::transform(scored, std::back_inserter(chosen), &ScoredInstance::mInstance);
+  return chosen;
 }
 
 } // namespace vanillaloft::decide
--- a/src/decide/lookup.h
+++ b/src/decide/lookup.h
@@ -1,9 +1,8 @@
-// Chooses the entry instances for a caller: the ready instances that are not leaving in
-// the data centre nearest to its address, otherwise those of the same region, otherwise
-// any.
+// Chooses the entry instances for a caller: a few of the ready instances that are not
+// leaving in the data centre nearest to its address, otherwise of the same region,
+// otherwise of any.
 #pragma once
 
-#include <span>
 #include <string>
 #include <vector>
 
@@ -16,11 +15,11 @@
 struct EntryInstance
 {
   std::string mAddress; // "ip:port" for callers
-  unsigned mWeight = 1;
+  unsigned mWeight = 1; // capacity relative to other instances
 };
 
-// Precomputed look-up results for all data centres, rebuilt when members change, so that
-// a look-up is a search for the client block and one table access.
+// The instances of all data centres, rebuilt when members change. A look-up finds the
+// client block and chooses among the instances of one data centre.
 class LookUp
 {
 public:
@@ -31,12 +30,15 @@
                Instant aNow);
 
   // The instances for a caller's IPv4 address (host byte order), at most four; if no
-  // client block contains the address, those for this data centre. Valid until the next
-  // Rebuild.
-  std::span<const EntryInstance> InstancesForClient(std::uint32_t aClient) const;
-
-  // The instances for callers of a data centre; empty if the data centre is not known.
-  std::span<const EntryInstance> InstancesForDataCentre(DataCentreId aDataCentre) const;
+  // client block contains the address, those for callers of this data centre.
+  std::vector<EntryInstance> InstancesForClient(std::uint32_t aClient) const;
+
+  // The instances for a caller of a data centre, at most four; empty if the data centre
+  // is not known. A caller gets the same instances for as long as they serve, from
+  // whichever instance it asks, and each instance gets callers in proportion to its
+  // weight.
+  std::vector<EntryInstance> InstancesForDataCentre(DataCentreId aDataCentre,
+                                                    std::uint32_t aClient) const;
 
 private:
   ConfigPtr mConfig;
--- a/src/decide/rank.cc
+++ b/src/decide/rank.cc
@@ -7,6 +7,8 @@
 
 #include <xxhash.h>
 
+#include "decide/uniform.h"
+
 namespace vanillaloft::decide {
 
 namespace {
@@ -26,11 +28,9 @@
 using Group = std::vector<EligibleServer>;
 
 // Hash of the pair, uniform in (0, 1).
-double UniformHash(std::uint64_t aObject, std::uint64_t aServer)
+double HashOfPair(std::uint64_t aObject, std::uint64_t aServer)
 {
-  constexpr double kRange = 18446744073709551616.0; // 2^64
-  std::uint64_t hash = XXH3_64bits_withSeed(&aServer, sizeof aServer, aObject);
-  return (double(hash) + 0.5) / kRange;
+  return UniformHash(XXH3_64bits_withSeed(&aServer, sizeof aServer, aObject));
 }
 
 // Weighted rendezvous hashing: the probability that a server has the highest score is
@@ -43,7 +43,7 @@
   const EligibleServer* best = nullptr;
   double bestScore = 0;
   for (const EligibleServer& server : aGroup) {
-    double score = -aWeight(server) / std::log(UniformHash(aObject, server.mKey));
+    double score = -aWeight(server) / std::log(HashOfPair(aObject, server.mKey));
     bool better = !best || (best->mSuspect && !server.mSuspect) ||
                   (best->mSuspect == server.mSuspect && score > bestScore);
     if (better) {
@@ -172,7 +172,7 @@
   if (candidates.size() < kMinCandidates) {
     AddHighestScored(candidates, home, aObject, SlotCount);
   }
-  if (UniformHash(aObject, kHomeFractionSalt) >= aCapacity.HomeFraction()) {
+  if (HashOfPair(aObject, kHomeFractionSalt) >= aCapacity.HomeFraction()) {
     std::stable_partition(candidates.begin(), candidates.end(), IsInOtherRegion);
   }
   std::stable_partition(candidates.begin(),
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -92,6 +92,7 @@
   // Time from the start of an instance to its first claim of shares.
   Duration mShareClaimDelay = decide::kNewHolderWait;
   ConfigParser mParseConfig = decide::ParseConfig;
+  unsigned mWeight = 1; // capacity for callers relative to other instances
 };
 
 // Prometheus metrics of one instance.
--- a/src/entry/lookup.cc
+++ b/src/entry/lookup.cc
@@ -37,6 +37,17 @@
   }
 }
 
+std::vector<decide::EntryInstance> LookupHandler::InstancesFor(
+  const std::string& aDataCentre,
+  std::uint32_t aClient) const
+{
+  if (!mCore.Config()) {
+    return {};
+  }
+  return mLookUp.InstancesForDataCentre(mCore.Config()->FindDataCentre(aDataCentre),
+                                        aClient);
+}
+
 std::string LookupHandler::Handle(const net::Request& aRequest,
                                   std::uint32_t aClient,
                                   const std::string& aKey)
@@ -55,8 +66,8 @@
   json answer;
   answer["instances"] = json::array();
   for (const decide::EntryInstance& candidate : mLookUp.InstancesForClient(aClient)) {
-    answer["instances"].push_back(
-      { { "address", candidate.mAddress }, { "weight", candidate.mWeight } });
+    // The instances were chosen by their weights already.
+    answer["instances"].push_back({ { "address", candidate.mAddress }, { "weight", 1 } });
   }
   if (answer["instances"].empty()) {
     throw RequestError(Result::NotReady);
--- a/src/entry/lookup.h
+++ b/src/entry/lookup.h
@@ -30,14 +30,10 @@
                      std::uint32_t aClient,
                      const std::string& aKey);
 
-  // The instances for callers in a data centre; empty if the data centre is unknown.
-  std::span<const decide::EntryInstance> InstancesFor(
-    const std::string& aDataCentre) const
-  {
-    return mCore.Config()
-             ? mLookUp.InstancesForDataCentre(mCore.Config()->FindDataCentre(aDataCentre))
-             : std::span<const decide::EntryInstance>();
-  }
+  // The instances for a caller in a data centre; empty if the data centre is unknown.
+  // aClient: IPv4 address of the caller in host byte order.
+  std::vector<decide::EntryInstance> InstancesFor(const std::string& aDataCentre,
+                                                  std::uint32_t aClient) const;
 
 private:
   Core& mCore;
--- a/tests/unit/platform.cc
+++ b/tests/unit/platform.cc
@@ -146,6 +146,18 @@
   CHECK(config->mBudgets[shop.mBudget.Value()].mTotal.mPerSecond >= 100 * decide::kToken);
 }
 
+TEST_CASE("an instance's weight follows from the scarcer of processor and link")
+{
+  auto weightOf = [](const std::string& aLimits) {
+    return platform::ReadSettings(WriteSettings(kSettings + aLimits)).mInstance.mWeight;
+  };
+  CHECK(weightOf("") == 1);
+  CHECK(weightOf("[local.limits]\ncpu_share = 0.1\ncores = 1\nlink_mbps = 12.0\n") == 1);
+  CHECK(weightOf("[local.limits]\ncpu_share = 0.5\ncores = 1\nlink_mbps = 120\n") == 5);
+  CHECK(weightOf("[local.limits]\ncpu_share = 0.5\ncores = 4\nlink_mbps = 20\n") == 2);
+  CHECK(weightOf("[local.limits]\ncpu_share = 1e300\nlink_mbps = 1e300\n") == 100);
+}
+
 TEST_CASE("a malformed configuration throws ConfigError")
 {
   platform::PlatformDecoder decoder = MakeDecoder();
