Heartbeats name addresses only to peers that know others, 24 at a time

Cause: each heartbeat and each reply carried all 295 known addresses, some 9 KB, to and from 35 neighbours each 0.8 s.

Change: instances compare a digest of the addresses that they know; only to a peer with another digest a message adds 24 of them, in turn. A known address without a data centre takes over one that is learned later, so that the sets become equal. Also two sums over the members that a request needs no longer build lists.

--- a/src/decide/member.cc
+++ b/src/decide/member.cc
@@ -21,22 +21,67 @@
   return XXH64(both.data(), both.size(), 0);
 }
 
+std::uint64_t DigestOf(const std::string& aAddress, const std::string& aDataCentre)
+{
+  std::string both = aAddress + '@' + aDataCentre;
+  return XXH64(both.data(), both.size(), 0);
+}
+
 } // namespace
 
+Members::Members(std::string aSelfAddress, std::string aDataCentre, Duration aTimeout)
+  : mSelfAddress(std::move(aSelfAddress))
+  , mDataCentre(std::move(aDataCentre))
+  , mTimeout(aTimeout)
+  , mAddressDigest(DigestOf(mSelfAddress, mDataCentre))
+{
+}
+
 void Members::AddAddress(const std::string& aAddress, const std::string& aDataCentre)
 {
-  if (aAddress != mSelfAddress) {
-    mAddresses.emplace(aAddress, aDataCentre);
+  auto known = mAddresses.find(aAddress);
+  bool adds = known == mAddresses.end() || known->second.empty();
+  if (aAddress != mSelfAddress && adds) {
+    PutAddress(aAddress, aDataCentre);
   }
 }
 
+// The digest is the exclusive or of the entries' digests, so that it does not depend on
+// the order in which they became known.
+void Members::PutAddress(const std::string& aAddress, const std::string& aDataCentre)
+{
+  auto [known, added] = mAddresses.try_emplace(aAddress, aDataCentre);
+  if (!added && known->second == aDataCentre) {
+    return;
+  }
+  if (!added) {
+    mAddressDigest ^= DigestOf(aAddress, known->second);
+    known->second = aDataCentre;
+  }
+  mAddressDigest ^= DigestOf(aAddress, aDataCentre);
+}
+
+std::vector<KnownAddress> Members::AddressesAfter(const std::string& aAfter,
+                                                  std::size_t aMost) const
+{
+  std::vector<KnownAddress> addresses;
+  auto next = mAddresses.upper_bound(aAfter);
+  for (std::size_t i = 0; i < std::min(aMost, mAddresses.size()); ++i, ++next) {
+    if (next == mAddresses.end()) {
+      next = mAddresses.begin();
+    }
+    addresses.push_back({ next->first, next->second });
+  }
+  return addresses;
+}
+
 bool Members::RecordStatus(const MemberStatus& aStatus, Instant aNow)
 {
   const std::string& address = aStatus.mSelf.mAddress;
   if (address == mSelfAddress) {
     return false;
   }
-  mAddresses[address] = aStatus.mDataCentre;
+  PutAddress(address, aStatus.mDataCentre);
   bool changed =
     !Alive(address, aNow) || mMembers[address].mStatus.mSelf != aStatus.mSelf;
   mMembers[address] = { aStatus, aNow };
@@ -60,6 +105,22 @@
   return member && aNow - member->mReceivedAt < mTimeout;
 }
 
+bool Members::HasShareHolder(Instant aNow) const
+{
+  return std::ranges::any_of(mMembers, [&](const auto& aEntry) {
+    const Member& member = aEntry.second;
+    return member.mStatus.mHoldsShares && aNow - member.mReceivedAt < mTimeout;
+  });
+}
+
+std::size_t Members::AliveCount(Instant aNow) const
+{
+  auto count = std::ranges::count_if(mMembers, [&](const auto& aEntry) {
+    return aNow - aEntry.second.mReceivedAt < mTimeout;
+  });
+  return static_cast<std::size_t>(count);
+}
+
 std::vector<const Member*> Members::AliveMembers(Instant aNow) const
 {
   std::vector<const Member*> alive;
--- a/src/decide/member.h
+++ b/src/decide/member.h
@@ -31,6 +31,9 @@
   Incarnation mSelf;
   std::string mDataCentre;
   std::string mEntryAddress; // "ip:port" for callers
+  unsigned mWeight = 1;      // capacity relative to other instances
+  // Digest of the addresses that the instance knows; 0 if unknown.
+  std::uint64_t mAddressDigest = 0;
   bool mReady = false;
   bool mLeaving = false;
   bool mHoldsShares = false; // other instances may ask it for tokens
@@ -41,6 +44,13 @@
   std::map<std::string, unsigned> mRemoteSlots; // by service, for other data centres
 };
 
+// Address of an instance; the data centre is empty if it is not known.
+struct KnownAddress
+{
+  std::string mAddress;
+  std::string mDataCentre;
+};
+
 struct Member
 {
   MemberStatus mStatus;
@@ -52,12 +62,7 @@
 public:
   Members(std::string aSelfAddress,
           std::string aDataCentre,
-          Duration aTimeout = kMemberTimeout)
-    : mSelfAddress(std::move(aSelfAddress))
-    , mDataCentre(std::move(aDataCentre))
-    , mTimeout(aTimeout)
-  {
-  }
+          Duration aTimeout = kMemberTimeout);
 
   // Adds an address to send heartbeats to. It becomes a member when its status arrives.
   void AddAddress(const std::string& aAddress, const std::string& aDataCentre);
@@ -78,6 +83,10 @@
   // those of this data centre first. An instance that cannot read the store finds them
   // this way, too.
   void AddShareHolders(std::vector<std::string>& aAddresses, Instant aNow) const;
+  // True if an alive member holds shares.
+  bool HasShareHolder(Instant aNow) const;
+  // Number of alive members other than this one.
+  std::size_t AliveCount(Instant aNow) const;
   // Alive members other than this one, in order of address.
   std::vector<const Member*> AliveMembers(Instant aNow) const;
   // Addresses that get heartbeats: in a small fleet all, otherwise all of the own data
@@ -107,8 +116,15 @@
   }
 
   const std::map<std::string, std::string>& Addresses() const { return mAddresses; }
+  // Digest of all known addresses, this instance's included. Two instances that know the
+  // same addresses have the same digest.
+  std::uint64_t AddressDigest() const { return mAddressDigest; }
+  // The known addresses that follow aAfter in a circle, at most aMost.
+  std::vector<KnownAddress> AddressesAfter(const std::string& aAfter,
+                                           std::size_t aMost) const;
 
 private:
+  void PutAddress(const std::string& aAddress, const std::string& aDataCentre);
   std::vector<std::string> RingTargets() const;
 
   std::string mSelfAddress;
@@ -117,6 +133,7 @@
   std::map<std::string, std::string>
     mAddresses;                           // address -> data centre, without this one
   std::map<std::string, Member> mMembers; // by address
+  std::uint64_t mAddressDigest = 0;
 };
 
 } // namespace vanillaloft::decide
--- a/src/entry/background.cc
+++ b/src/entry/background.cc
@@ -55,8 +55,7 @@
 
 void Spawn(asio::io_context& aContext, std::string aName, asio::awaitable<void> aTask)
 {
-  asio::co_spawn(
-    aContext, RunLogged(std::move(aName), std::move(aTask)), asio::detached);
+  asio::co_spawn(aContext, RunLogged(std::move(aName), std::move(aTask)), asio::detached);
 }
 
 void SpawnLoop(asio::io_context& aContext,
--- a/src/entry/core.cc
+++ b/src/entry/core.cc
@@ -112,9 +112,7 @@
   if (mShares.IsHolder()) {
     return true;
   }
-  std::vector<std::string> holders;
-  mMembers.AddShareHolders(holders, Now());
-  return !holders.empty() || Now() - mFirstConfigAt >= kShareHolderTimeout;
+  return mMembers.HasShareHolder(Now()) || Now() - mFirstConfigAt >= kShareHolderTimeout;
 }
 
 Duration Core::HeartbeatInterval() const
@@ -176,7 +174,7 @@
   if (mSettings.mFleetRetryBudgetCap <= 0) {
     return kRetryBudgetCap;
   }
-  return mSettings.mFleetRetryBudgetCap / double(mMembers.AliveMembers(Now()).size() + 1);
+  return mSettings.mFleetRetryBudgetCap / double(mMembers.AliveCount(Now()) + 1);
 }
 
 decide::MemberStatus Core::Status() const
@@ -186,6 +184,8 @@
   status.mDataCentre = mSettings.mDataCentre;
   status.mEntryAddress =
     mSettings.mListen.mHost + ":" + std::to_string(mSettings.mListen.mPort);
+  status.mWeight = mSettings.mWeight;
+  status.mAddressDigest = mMembers.AddressDigest();
   status.mReady = IsReady();
   status.mLeaving = mLeaving;
   status.mHoldsShares = mShares.IsHolder();
--- a/src/entry/relay.cc
+++ b/src/entry/relay.cc
@@ -12,6 +12,7 @@
 
 constexpr std::chrono::milliseconds kHeartbeatTimeout{ 1000 };
 constexpr std::chrono::milliseconds kConfigFetchTimeout{ 2000 };
+constexpr std::size_t kAddressesPerHeartbeat = 24;
 // Largest number of micro-tokens in one request; far above what any request needs.
 constexpr std::uint64_t kMaxTokenRequest = 1ULL << 50;
 
@@ -22,6 +23,8 @@
   status.set_start(aStatus.mSelf.mStartId);
   status.set_data_centre(aStatus.mDataCentre);
   status.set_entry_address(aStatus.mEntryAddress);
+  status.set_weight(aStatus.mWeight);
+  status.set_address_digest(aStatus.mAddressDigest);
   status.set_ready(aStatus.mReady);
   status.set_leaving(aStatus.mLeaving);
   status.set_holds_shares(aStatus.mHoldsShares);
@@ -44,6 +47,8 @@
   status.mSelf = { aStatus.address(), aStatus.start() };
   status.mDataCentre = aStatus.data_centre();
   status.mEntryAddress = aStatus.entry_address();
+  status.mWeight = aStatus.weight();
+  status.mAddressDigest = aStatus.address_digest();
   status.mReady = aStatus.ready();
   status.mLeaving = aStatus.leaving();
   status.mHoldsShares = aStatus.holds_shares();
@@ -60,15 +65,23 @@
 
 } // namespace
 
+// A peer that knows other addresses than this instance gets a few of the known ones with
+// each heartbeat. Sending all each time would make the traffic of an instance grow with
+// the square of the fleet's size.
 template<typename Message>
-void Relay::FillHeartbeat(Message& aMessage) const
+void Relay::FillHeartbeat(Message& aMessage, std::uint64_t aPeerDigest)
 {
   *aMessage.mutable_status() = ToWire(mCore.Status());
   mReplication.ReportReplicas(*aMessage.mutable_status());
-  for (const auto& [address, dataCentre] : mCore.mMembers.Addresses()) {
+  if (aPeerDigest == mCore.mMembers.AddressDigest()) {
+    return;
+  }
+  for (const decide::KnownAddress& address :
+       mCore.mMembers.AddressesAfter(mLastSentAddress, kAddressesPerHeartbeat)) {
     wire::KnownAddress* known = aMessage.add_known();
-    known->set_address(address);
-    known->set_data_centre(dataCentre);
+    known->set_address(address.mAddress);
+    known->set_data_centre(address.mDataCentre);
+    mLastSentAddress = address.mAddress;
   }
 }
 
@@ -127,7 +140,8 @@
 Awaitable<void> Relay::SendHeartbeat(std::string aAddress)
 {
   wire::BeatRequest request;
-  FillHeartbeat(request);
+  const decide::Member* peer = mCore.mMembers.Find(aAddress);
+  FillHeartbeat(request, peer ? peer->mStatus.mAddressDigest : 0);
   bool newer = false;
   Instant requestedAt = mCore.Now();
   try {
@@ -151,7 +165,7 @@
     Spawn(mCore.mContext, "fetch-config", FetchConfigFrom(aRequest.status().address()));
   }
   wire::BeatReply reply;
-  FillHeartbeat(reply);
+  FillHeartbeat(reply, aRequest.status().address_digest());
   co_return reply;
 }
 
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -34,8 +34,9 @@
   Awaitable<void> SendHeartbeat(std::string aAddress);
 
 private:
+  // aPeerDigest: digest of the addresses that the peer knows; 0 if unknown.
   template<typename Message>
-  void FillHeartbeat(Message& aMessage) const;
+  void FillHeartbeat(Message& aMessage, std::uint64_t aPeerDigest);
   // Records a peer's status and the peer addresses that it sends. Returns true if the
   // peer has a newer configuration.
   template<typename Message>
@@ -48,6 +49,7 @@
   Core& mCore;
   Pipeline& mPipeline;
   bool mFetchingConfig = false;
+  std::string mLastSentAddress; // the last known address in a heartbeat
   Replication mReplication;
 };
 
--- a/tests/fuzz/main.cc
+++ b/tests/fuzz/main.cc
@@ -75,9 +75,10 @@
 "services":[{"name":"s","profile":"p","routes":[{"path":"/s/","kind":"lookup"}],
 "backend_servers":[{"name":"b","data_centre":"d1","address":"127.0.0.1:9","slots":4}]}]})";
 
-constexpr const char* kResponse = "HTTP/1.1 200 OK\r\nVanillaloft-Attempt-Id: abc\r\n"
-                                  "Vanillaloft-Server-Load: 3,1,8\r\nContent-Length: 2\r\n"
-                                  "Connection: X-Hop\r\n\r\nok";
+constexpr const char* kResponse =
+  "HTTP/1.1 200 OK\r\nVanillaloft-Attempt-Id: abc\r\n"
+  "Vanillaloft-Server-Load: 3,1,8\r\nContent-Length: 2\r\n"
+  "Connection: X-Hop\r\n\r\nok";
 constexpr const char* kRequest =
   "GET /x/2f?q=1 HTTP/1.1\r\nHost: a.example:80\r\nVanillaloft-Attempt-Id: abc\r\n"
   "Cookie: Vanillaloft-Affinity-Key=17\r\nVanillaloft-Deadline-Ms: 1200\r\n"
@@ -317,7 +318,9 @@
 }
 
 // A crash leaves the input that caused it in this file.
-void KeepLastInput(const std::string& aFile, const Target& aTarget, const std::string& aText)
+void KeepLastInput(const std::string& aFile,
+                   const Target& aTarget,
+                   const std::string& aText)
 {
   if (!aFile.empty()) {
     std::ofstream(aFile, std::ios::binary) << aTarget.mName << "\n" << aText;
--- a/tests/fuzz/mutate.cc
+++ b/tests/fuzz/mutate.cc
@@ -14,9 +14,9 @@
 const std::vector<std::string>& OddNumbers()
 {
   static const std::vector<std::string> numbers = {
-    "-1",   "0",       "65535", "65536", "4294967296", "18446744073709551615",
-    "1e20", "1e999",   "1e300", "-1e300", "0.5",       "18446744073709551616",
-    "NaN",  "-0",      "true",  "null",  "\"8\"",      "9223372036854775807",
+    "-1",   "0",       "65535", "65536",  "4294967296", "18446744073709551615",
+    "1e20", "1e999",   "1e300", "-1e300", "0.5",        "18446744073709551616",
+    "NaN",  "-0",      "true",  "null",   "\"8\"",      "9223372036854775807",
     "[]",   "Infinity"
   };
   return numbers;
@@ -94,10 +94,10 @@
 
 void Mutator::ReplaceNumber(std::string& aInput)
 {
-  auto from = std::find_if(
-    aInput.begin() + static_cast<std::ptrdiff_t>(Below(aInput.size() + 1)),
-    aInput.end(),
-    IsDigit);
+  auto from =
+    std::find_if(aInput.begin() + static_cast<std::ptrdiff_t>(Below(aInput.size() + 1)),
+                 aInput.end(),
+                 IsDigit);
   auto to = std::find_if_not(from, aInput.end(), IsDigit);
   aInput.replace(from, to, OddNumbers()[Below(OddNumbers().size())]);
 }
--- a/tests/unit/entry_backend.cc
+++ b/tests/unit/entry_backend.cc
@@ -29,11 +29,8 @@
                      const std::string& aBody)
 {
   std::string id = aRequest.empty() ? "" : "X-Request-Id: " + aRequest + "\r\n";
-  return fmt::format("HTTP/1.1 {}\r\n{}Content-Length: {}\r\n\r\n{}",
-                     aStatus,
-                     id,
-                     aBody.size(),
-                     aBody);
+  return fmt::format(
+    "HTTP/1.1 {}\r\n{}Content-Length: {}\r\n\r\n{}", aStatus, id, aBody.size(), aBody);
 }
 
 std::string Answer(const std::string& aRequest)
