--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -118,7 +118,7 @@
   constexpr std::size_t kMaxBytes = 200;
   std::string text(aText.substr(0, kMaxBytes));
   std::ranges::replace_if(
-    text, [](char c) { return c < ' ' || c > '~'; }, '?');
+    text, [](char aChar) { return aChar < ' ' || aChar > '~'; }, '?');
   return aText.size() > kMaxBytes ? text + "..." : text;
 }
 
