--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""An endpoint leaves while one instance is cut off from the store; another instance is restarted right after that."""
+"""A tenant is taken out of the configuration while its requests wait for tokens of an instance that is frozen."""
 
 import asyncio
 import os
@@ -10,66 +10,75 @@
 import deployment as d  # noqa: E402
 
 ZONES = {"ct-a": "sicilia-est", "pa-a": "sicilia-ovest", "rc-a": "calabria"}
-KEYS = {"grocer": ["key-of-grocer"]}
-CUT_S = 5.0  # of the instance in ct-a from the store
-SERVES_ON_S = 14.0  # the leaving endpoint serves this long after drain_s, then it exits
-SERVERS_PER_ZONE = 3
+TENANTS = ["grocer", "stall", "market", "bakery", "hardware"]
+KEYS = {name: ["key-of-" + name] for name in TENANTS}
+RATE = 142  # requests per second of each tenant, as in the example of the wire
+LOOKS_PER_S = 90  # within the limit, so that holders have tokens to give
+FREEZE_S = 4.0
+LOST_ALLOWED = 3  # RULES.md, LOST: "more than three times"
+
+
+def config(version, tenants):
+    paths = [d.route("stock", "/stock/", "safe", "giacenza", 4, 0.6),
+             d.route("reorder", "/reorder/", "unsafe", "ordini", 6, 0.8)]
+    return d.config(version, ["giacenza", "ordini"], {"lesta.example": paths}, {name: KEYS[name] for name in tenants},
+                    {name: RATE for name in tenants})
+
+
+async def holds_shares(site, instance):
+    _, metrics = await d.ask((instance.ip, site.ports["internal"]), "/metrics")
+    return b"vanillaloft_share_holder 1" in metrics.split(b"\n")
 
 
 async def play(make):
     site = make(ZONES)
     for zone in ZONES:
-        site.add_instance("front-" + zone, zone)
-        for _ in range(SERVERS_PER_ZONE):
-            await site.add_server("ordini", zone, 4, 0.3)
-    paths = [d.route("reorder", "/reorder/", "unsafe", "ordini", 6, 0.8)]
-    site.apply(d.config("r1", ["ordini"], {"lesta.example": paths}, KEYS))
+        for name in ("front-%s-1", "front-%s-2"):
+            site.add_instance(name % zone, zone)
+        for _ in range(4):
+            await site.add_server("ordini", zone, 4, 1.16)
+            await site.add_server("giacenza", zone, 8, 0.1)
+    site.apply(config("r1", TENANTS))
     await site.start_instances()
-    cut, restarted = site.instances[0], site.instances[1]
-    clients = [d.Client(site, instance) for instance in (cut, site.instances[2])]
+    supervisor = asyncio.ensure_future(site.supervise())
+    clients = [d.Client(site, instance) for instance in site.instances]
+    in_ct_a = clients[:2]  # the tenant "hardware" has its shops near ct-a
 
     async def order():
         number = site.random.randrange(10**6)
         await site.random.choice(clients).send("POST", "lesta.example", "/reorder/%d" % number, "key-of-grocer",
                                                6000, b"one carton")
 
-    total = 4 + 1 + d.BOUNDS["drain_s"] + SERVES_ON_S
-    offer = asyncio.ensure_future(site.offer(12.0, total, order))
-    await asyncio.sleep(4)
-    if site.trouble:
-        site.store.cut.add(cut.name)
-        site.record.line("core_cut", cut.name)
-    cut_at = site.record.now()
-    await asyncio.sleep(1)
-    leaving = next(server for server in site.servers if server.zone == "ct-a")
-    site.store.delete("servers/" + leaving.id)  # it never reports draining; its entry is removed
-    left_at = site.record.now()
-    site.record.line("left", leaving.id, "its entry was removed")
+    async def look():
+        await site.random.choice(in_ct_a).send("GET", "lesta.example", "/stock/x", "key-of-hardware", 4000)
+
+    offers = [asyncio.ensure_future(site.offer(36.0, 14, order)), asyncio.ensure_future(site.offer(LOOKS_PER_S, 14, look))]
+    await asyncio.sleep(5)
     if site.trouble:
-        await restarted.kill()
-        await asyncio.sleep(0.2)
-        restarted.start()
-    await asyncio.sleep(max(0, CUT_S - (site.record.now() - cut_at)))
-    site.store.cut.discard(cut.name)
-    healed_at = site.record.now()
-    site.record.line("core_cut ends")
-    await offer
+        holder = [instance for instance in site.instances[:2] if await holds_shares(site, instance)]
+        if len(holder) != 1:
+            raise d.CannotRun("%d instances of ct-a hold its shares" % len(holder))
+        holder[0].signal(signal.SIGSTOP)
+        await asyncio.sleep(0.7)
+        site.apply(config("r3", TENANTS[:-1]))  # the last tenant and its key are gone
+        await asyncio.sleep(FREEZE_S - 0.7)
+        holder[0].signal(signal.SIGCONT)
+    await asyncio.gather(*offers)
     await site.settle()
-    if site.check_alive():
-        raise d.CannotRun("an instance ended: %s" % site.check_alive())
+    supervisor.cancel()
+    await asyncio.gather(*site.restarts)
+    if len(site.runs) < 200:
+        raise d.CannotRun("only %d requests ran" % len(site.runs))
 
-    # Machines in touch: for the whole stable_s before, a path to the store and no disruption of their own.
-    broken = 0
-    for time_s, server, _, attempt, method, target, _, _ in site.runs:
-        sent_at, instance, _, _ = site.sent[attempt]
-        in_touch_from = healed_at + d.BOUNDS["stable_s"] if site.trouble and instance == cut.name else 0
-        late = server == leaving.id and time_s > left_at + d.BOUNDS["drain_s"] and sent_at > in_touch_from
-        if late:
-            broken += 1
-            site.record.line("DRAIN", attempt, instance, "%.1f s after the entry was removed" % (time_s - left_at))
-    print("DRAIN: %d requests reached %s later than drain_s = %d s after its entry was removed, by machines in touch"
-          % (broken, leaving.id, d.BOUNDS["drain_s"]))
-    return broken > 0
+    frozen = holder[0].name if site.trouble else None
+    lost = [run for run in site.runs if run[3] in site.kept and site.answers.get(run[3]) == ""
+            and site.sent[run[3]][1] != frozen]
+    for time_s, server, _, attempt, method, target, tenant, _ in lost:
+        site.record.line("LOST", attempt, "%s %s of %s ran at %s at %.3f s; its kept connection ended without an "
+                         "answer" % (method, target, tenant, server, time_s))
+    print("LOST: %d requests ran whose kept connection, to an instance that was not frozen, was closed without an "
+          "answer; frozen: %s; ended by themselves: %s" % (len(lost), frozen, [end[1:] for end in site.own_ends]))
+    return len(lost) > LOST_ALLOWED
 
 
 d.main(play, HERE)
