Request resolution and the text hash get modules of their own

HashOf stood in two files. Change: Resolver (src/entry/resolver.h) finds route, service and organisation of a request; the pipeline, the relay and look-ups use it. decide::HashOf has one copy. No behaviour changes.

--- a/src/daemon/instance.cc
+++ b/src/daemon/instance.cc
@@ -64,7 +64,7 @@
               mAdmission,
               mBackend,
               aDispatchMode == DispatchMode::Direct ? &mDirectPlacement : nullptr)
-  , mLookUps(mCore, mPipeline)
+  , mLookUps(mCore)
   , mRelay(mCore, mPipeline)
   , mListener(mCore, aFormat)
   , mLoops(mCore, mAdmission, mBackend, mLookUps, mRelay, mListener, *mStore)
--- a/src/decide/fleet.cc
+++ b/src/decide/fleet.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include <xxhash.h>
+#include "decide/hash.h"
 
 namespace vanillaloft::decide {
 
@@ -57,11 +57,6 @@
 // Tolerance in slots, since the load of other instances is an estimate.
 constexpr double kSlotTolerance = 0.2;
 
-std::uint64_t HashOf(const std::string& aText)
-{
-  return XXH3_64bits(aText.data(), aText.size());
-}
-
 bool Contains(const std::vector<RegionId>& aRegions, RegionId aRegion)
 {
   return aRegions.empty() || std::ranges::find(aRegions, aRegion) != aRegions.end();
--- a/src/entry/lookup.cc
+++ b/src/entry/lookup.cc
@@ -53,7 +53,7 @@
                                   const std::string& aKey)
 {
   std::string_view target(aRequest.target().data(), aRequest.target().size());
-  decide::OrganisationId organisation = mPipeline.Identify(aKey);
+  decide::OrganisationId organisation = mResolver.Identify(aKey);
   decide::ServiceId service = mCore.Config()->FindService(QueryValue(target, "service"));
   if (service.IsNone()) {
     throw RequestError(Result::UnknownRoute);
--- a/src/entry/lookup.h
+++ b/src/entry/lookup.h
@@ -5,7 +5,7 @@
 
 #include "decide/lookup.h"
 #include "entry/core.h"
-#include "entry/pipeline.h"
+#include "entry/resolver.h"
 #include "net/http.h"
 
 namespace vanillaloft::entry {
@@ -14,9 +14,9 @@
 class LookupHandler
 {
 public:
-  LookupHandler(Core& aCore, Pipeline& aPipeline)
+  explicit LookupHandler(Core& aCore)
     : mCore(aCore)
-    , mPipeline(aPipeline)
+    , mResolver(aCore)
   {
   }
 
@@ -37,7 +37,7 @@
 
 private:
   Core& mCore;
-  Pipeline& mPipeline;
+  Resolver mResolver;
   decide::LookUp mLookUp;
 };
 
--- a/src/entry/pipeline.cc
+++ b/src/entry/pipeline.cc
@@ -2,8 +2,7 @@
 
 #include <algorithm>
 
-#include <xxhash.h>
-
+#include "decide/hash.h"
 #include "decide/route.h"
 
 namespace vanillaloft::entry {
@@ -34,11 +33,6 @@
   Core& mCore;
 };
 
-std::uint64_t HashOf(const std::string& aText)
-{
-  return XXH3_64bits(aText.data(), aText.size());
-}
-
 // Returns the budget of the request's organisation; none if the request has no
 // organisation or the organisation has no limit.
 decide::BudgetId BudgetOf(const Exchange& aExchange)
@@ -114,7 +108,8 @@
 {
   aOutcome.mResult = aCode;
   if (base::InfoOf(aCode).mExecuted == base::Executed::No) {
-    aOutcome.mRetryAfter = decide::RetryAfter(aCode, HashOf(aExchange.mRequestId));
+    aOutcome.mRetryAfter =
+      decide::RetryAfter(aCode, decide::HashOf(aExchange.mRequestId));
   }
 }
 
@@ -143,73 +138,9 @@
     AgeInMilliseconds(mCore.RegistrationsAge()));
 }
 
-decide::OrganisationId Pipeline::Identify(const std::string& aKey) const
-{
-  if (!mCore.IsReady()) {
-    throw RequestError(Result::NotReady);
-  }
-  decide::OrganisationId organisation = mCore.Config()->FindKey(decide::DigestKey(aKey));
-  if (organisation.IsNone()) {
-    throw RequestError(Result::KeyUnknown);
-  }
-  bool refusesUnconfirmed =
-    mCore.Config()->mOrganisations[organisation.Value()].mIsolatedKeys ==
-    decide::IsolatedKeys::Refuse;
-  if (refusesUnconfirmed && mCore.KeysUnconfirmed()) {
-    throw RequestError(Result::KeysUnconfirmed);
-  }
-  return organisation;
-}
-
-// Runs at arrival, and again after each change of the configuration while the request
-// waited, so that a key withdrawn in the meantime is refused.
-void Pipeline::Resolve(Exchange& aExchange) const
-{
-  if (!mCore.IsReady()) {
-    throw RequestError(Result::NotReady);
-  }
-  aExchange.mConfig = mCore.Config();
-  aExchange.mDebitedBudget = {}; // it indexes the previous configuration
-  std::string_view path =
-    std::string_view(aExchange.mTarget).substr(0, aExchange.mTarget.find('?'));
-  aExchange.mRoute = aExchange.mConfig->FindRoute(aExchange.mHost, path);
-  if (aExchange.mRoute.IsNone()) {
-    aExchange.mService = {};
-    throw RequestError(Result::UnknownRoute);
-  }
-  const decide::Route& route = aExchange.MatchedRoute();
-  aExchange.mService = decide::SelectService(route, HashOf(aExchange.mRequestId));
-  bool reads = aExchange.mMethod == "GET" || aExchange.mMethod == "HEAD";
-  bool writes = aExchange.mMethod == "POST" || aExchange.mMethod == "PUT";
-  bool methodAllowed = route.mKind == decide::RouteKind::Order
-                         ? writes
-                         : reads || aExchange.mMethod == "POST";
-  if (!methodAllowed && !route.mAnyMethod) {
-    throw RequestError(Result::MethodNotAllowed);
-  }
-  Authenticate(aExchange);
-}
-
-void Pipeline::Authenticate(Exchange& aExchange) const
-{
-  if (!aExchange.MatchedRoute().NeedsKey()) {
-    aExchange.mOrganisation = {};
-  } else if (!aExchange.mOrganisationName.empty()) {
-    aExchange.mOrganisation =
-      aExchange.mConfig->FindOrganisation(aExchange.mOrganisationName);
-    if (aExchange.mOrganisation.IsNone()) {
-      throw RequestError(Result::KeyUnknown);
-    }
-  } else if (!aExchange.mHasKey) {
-    throw RequestError(Result::KeyMissing);
-  } else {
-    aExchange.mOrganisation = Identify(aExchange.mKey);
-  }
-}
-
 Awaitable<void> Pipeline::RouteFilter(Exchange& aExchange)
 {
-  Resolve(aExchange);
+  mResolver.Resolve(aExchange);
   const decide::Profile& profile = aExchange.mConfig->ProfileOf(aExchange.mService);
   Duration timeout = aExchange.MatchedRoute().mTimeout;
   timeout = timeout > Duration::zero() ? timeout : profile.mDeadline;
@@ -232,7 +163,7 @@
     if (aExchange.mConfig == mCore.Config()) {
       throw RequestError(Result::RateExceeded);
     }
-    Resolve(aExchange);
+    mResolver.Resolve(aExchange);
     budget = BudgetOf(aExchange);
   }
   aExchange.mDebitedBudget = budget;
@@ -241,7 +172,7 @@
 Awaitable<Outcome> Pipeline::Place(Exchange& aExchange)
 {
   if (aExchange.mConfig != mCore.Config()) {
-    Resolve(aExchange);
+    mResolver.Resolve(aExchange);
   }
   if (mPlacement) {
     co_return co_await mPlacement->Place(aExchange);
@@ -336,7 +267,7 @@
 Awaitable<Outcome> Pipeline::Deliver(Exchange& aExchange, bool aOrder)
 {
   if (aExchange.mConfig != mCore.Config()) {
-    Resolve(aExchange);
+    mResolver.Resolve(aExchange);
   }
   if (mCore.Now() >= aExchange.mDeadline) {
     throw RequestError(Result::DeadlineBeforeStart);
--- a/src/entry/pipeline.h
+++ b/src/entry/pipeline.h
@@ -7,6 +7,7 @@
 #include "entry/admission.h"
 #include "entry/backend.h"
 #include "entry/core.h"
+#include "entry/resolver.h"
 
 namespace vanillaloft::entry {
 
@@ -28,6 +29,7 @@
            BackendClient& aBackend,
            Placement* aPlacement = nullptr)
     : mCore(aCore)
+    , mResolver(aCore)
     , mAdmission(aAdmission)
     , mBackend(aBackend)
     , mPlacement(aPlacement)
@@ -47,13 +49,6 @@
                                             decide::Origin aOrigin,
                                             bool aOrder);
 
-  // Sets route, service and organisation from the configuration in force. Throws
-  // RequestError.
-  void Resolve(Exchange& aExchange) const;
-
-  // Returns the organisation of a presented key. Throws RequestError.
-  decide::OrganisationId Identify(const std::string& aKey) const;
-
 private:
   using Filter = Awaitable<void> (Pipeline::*)(Exchange&);
   struct FilterRow
@@ -81,12 +76,12 @@
                                         bool aOrder);
   Awaitable<bool> DebitRegionBudgets(const Exchange& aExchange,
                                      const std::string& aAddress);
-  void Authenticate(Exchange& aExchange) const;
   void RefundToken(const Exchange& aExchange);
   void SetRefusal(const Exchange& aExchange, Result aCode, decide::Outcome& aOutcome);
   void RecordOutcome(const Exchange& aExchange, const decide::Outcome& aOutcome);
 
   Core& mCore;
+  Resolver mResolver;
   Admission& mAdmission;
   BackendClient& mBackend;
   Placement* mPlacement;
--- a/src/entry/relay.cc
+++ b/src/entry/relay.cc
@@ -223,7 +223,7 @@
   exchange.mDeadline = mCore.Now() + peer::TimeFromWire(aRequest.deadline_ms());
   wire::ForwardReply reply;
   try {
-    mPipeline.Resolve(exchange);
+    mResolver.Resolve(exchange);
     auto ticket = decide::Ticket::Parse(exchange.mTicket);
     bool issuedHere =
       aRequest.order() && ticket && ticket->mIssuer.mAddress == mCore.Self().mAddress;
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -15,6 +15,7 @@
   Relay(Core& aCore, Pipeline& aPipeline)
     : mCore(aCore)
     , mPipeline(aPipeline)
+    , mResolver(aCore)
     , mReplication(aCore)
   {
   }
@@ -48,6 +49,7 @@
 
   Core& mCore;
   Pipeline& mPipeline;
+  Resolver mResolver;
   bool mFetchingConfig = false;
   std::string mLastSentAddress; // the last known address in a heartbeat
   Replication mReplication;
--- a/tests/unit/entry.cc
+++ b/tests/unit/entry.cc
@@ -47,7 +47,7 @@
   NativeFormat mFormat;
   BackendClient mBackend{ mCore, mFormat };
   Pipeline mPipeline{ mCore, mAdmission, mBackend };
-  LookupHandler mLookUps{ mCore, mPipeline };
+  LookupHandler mLookUps{ mCore };
 
   Fixture()
   {
@@ -85,7 +85,7 @@
 Result IdentifyResult(const Fixture& aFixture, const std::string& aKey)
 {
   try {
-    aFixture.mPipeline.Identify(aKey);
+    Resolver(aFixture.mCore).Identify(aKey);
     return Result::Ok;
   } catch (const base::RequestError& error) {
     return error.Code();
@@ -252,7 +252,7 @@
   exchange.mMethod = "GET";
   exchange.mTarget = "/open";
   exchange.mDebitedBudget = decide::BudgetId(0);
-  fixture.mPipeline.Resolve(exchange);
+  Resolver(fixture.mCore).Resolve(exchange);
   CHECK(exchange.mDebitedBudget.IsNone());
 }
 
@@ -277,7 +277,7 @@
   exchange.mRequestId = "1";
   exchange.mArrival = fixture.mClock.Now();
   exchange.mDeadline = exchange.mArrival + 5s;
-  fixture.mPipeline.Resolve(exchange);
+  Resolver(fixture.mCore).Resolve(exchange);
   boost::asio::post(fixture.mContext, [&] {
     registration.mDraining = true;
     boost::asio::post(fixture.mContext, [&] {
