A waiting request is resolved again before each choice of a server

Cause: a request's service is an index into the tables of the configuration that the request was resolved with. DirectPlacement passed it to the fleet, which compares it with indexes of the configuration in force. The two configurations were compared only once, before the first choice, not after a wait or at a second server. Two new unit tests sent the request to the other service's server before the change. Change: ChooseServer resolves the request anew before each choice, and a query names the configuration that its indexes refer to; Fleet::Choose serves no query of another one. Why it works: between the resolution and the choice nothing waits, so both use one configuration. Related paths: Pipeline::Deliver had the same fault after its three waits; its new test ended with SIGSEGV while only the resolution was repeated, because a request without a service was retried. A request that the configuration in force refuses is no longer retried (ResolveError), which could also have sent it with a stale organisation. Unit tests pass.

--- a/src/decide/fleet.cc
+++ b/src/decide/fleet.cc
@@ -329,7 +329,7 @@
 
 ServerChoice Fleet::Choose(const PlacementQuery& aQuery, Instant aNow)
 {
-  if (!mConfig) {
+  if (!mConfig || aQuery.mConfig != mConfig) {
     return {};
   }
   const Ranking& ranking = RankingOf(aQuery, aNow);
--- a/src/decide/fleet.h
+++ b/src/decide/fleet.h
@@ -91,6 +91,7 @@
 // Requirements of a request on its backend server.
 struct PlacementQuery
 {
+  ConfigPtr mConfig; // that the indexes below refer to
   ServiceId mService;
   std::string mObject;               // affinity key; empty: no preference
   std::vector<RegionId> mRouteHomes; // both lists apply; an empty list allows all regions
@@ -155,7 +156,8 @@
   bool IsLeaving(const Server& aServer) const;
 
   // Chooses a server and counts the request as in flight there. The caller has to call
-  // RecordResult afterwards, with Cancelled if it did not send the request.
+  // RecordResult afterwards, with Cancelled if it did not send the request. Chooses none
+  // for a query whose indexes refer to another configuration than the fleet's.
   ServerChoice Choose(const PlacementQuery& aQuery, Instant aNow);
   // The state of a query's candidates, best first.
   std::vector<CandidateState> DescribeCandidates(const PlacementQuery& aQuery,
--- a/src/entry/direct.cc
+++ b/src/entry/direct.cc
@@ -99,6 +99,7 @@
 {
   decide::PlacementQuery query;
   const decide::Route& route = aExchange.MatchedRoute();
+  query.mConfig = aExchange.mConfig;
   query.mService = aExchange.mService;
   query.mObject = route.mSticky && !aExchange.mObject.empty() ? aExchange.mObject
                                                               : aExchange.mRequestId;
@@ -144,8 +145,9 @@
                                                            const Attempts& aAttempts)
 {
   Instant until = CapacityWaitEnd(aExchange);
-  decide::PlacementQuery query = QueryOf(aExchange, aAttempts);
   for (;;) {
+    mResolver.ResolveIfStale(aExchange);
+    decide::PlacementQuery query = QueryOf(aExchange, aAttempts);
     query.mMaySpill = mCore.Now() >= until;
     decide::ServerChoice choice = mCore.mFleet.Choose(query, mCore.Now());
     if (choice.mServer) {
@@ -273,10 +275,14 @@
   Attempts attempts;
   for (;;) {
     Result code = Result::Ok;
+    bool refused = false; // by the configuration in force
     decide::Outcome outcome;
     try {
       decide::ServerPtr server = co_await ChooseServer(aExchange, attempts);
       outcome = co_await SendTo(aExchange, std::move(server), attempts);
+    } catch (const ResolveError& error) {
+      code = error.Code();
+      refused = true;
     } catch (const RequestError& error) {
       code = error.Code();
     }
@@ -291,7 +297,7 @@
     attempts.mMayHaveRun = attempts.mMayHaveRun || failed || !DidNotRun(code);
     bool noServer = code == Result::QueueTimeout || code == Result::NoBackendServer;
     Result ended = failed ? Result::AnswerLost : code;
-    if (!noServer && MayRetry(aExchange, attempts, ended)) {
+    if (!refused && !noServer && MayRetry(aExchange, attempts, ended)) {
       continue;
     }
     if (attempts.mFailure) {
--- a/src/entry/direct.h
+++ b/src/entry/direct.h
@@ -16,6 +16,7 @@
 public:
   DirectPlacement(Core& aCore, BackendClient& aBackend)
     : mCore(aCore)
+    , mResolver(aCore)
     , mBackend(aBackend)
   {
   }
@@ -63,6 +64,7 @@
                                  const Attempts& aAttempts) const;
 
   Core& mCore;
+  Resolver mResolver;
   BackendClient& mBackend;
   std::map<std::string, std::set<Waiter>> mWaiters; // by service name
   std::uint64_t mNextWaiter = 0;
--- a/src/entry/pipeline.cc
+++ b/src/entry/pipeline.cc
@@ -171,9 +171,7 @@
 
 Awaitable<Outcome> Pipeline::Place(Exchange& aExchange)
 {
-  if (aExchange.mConfig != mCore.Config()) {
-    mResolver.Resolve(aExchange);
-  }
+  mResolver.ResolveIfStale(aExchange);
   if (mPlacement) {
     co_return co_await mPlacement->Place(aExchange);
   }
@@ -251,6 +249,8 @@
   for (;;) {
     try {
       co_return co_await Deliver(aExchange, aOrder);
+    } catch (const ResolveError&) {
+      throw;
     } catch (const RequestError& error) {
       if (left == 0 || !MayRetry(error, aOrder) ||
           !mCore.mRetryBudget.Spend(aExchange.ServiceName())) {
@@ -263,41 +263,44 @@
 
 // Makes one delivery attempt. A planned shift comes first, then the nearest free slot. A
 // request waits for a short time in its own data centre before it is sent to another one,
-// because a hop between regions costs more.
+// because a hop between regions costs more. The configuration may change during each
+// wait, and the request's indexes are used only with the tables that they refer to.
 Awaitable<Outcome> Pipeline::Deliver(Exchange& aExchange, bool aOrder)
 {
-  if (aExchange.mConfig != mCore.Config()) {
-    mResolver.Resolve(aExchange);
-  }
+  mResolver.ResolveIfStale(aExchange);
   if (mCore.Now() >= aExchange.mDeadline) {
     throw RequestError(Result::DeadlineBeforeStart);
   }
-  decide::ServiceId service = aExchange.mService;
-  if (auto target = mCore.mSteer.DrawShift(service)) {
+  if (auto target = mCore.mSteer.DrawShift(aExchange.mService)) {
     auto shiftTargets =
-      mCore.mSteer.InstancesOf(*target, service, mCore.mMembers, mCore.Now());
+      mCore.mSteer.InstancesOf(*target, aExchange.mService, mCore.mMembers, mCore.Now());
     if (auto outcome = co_await TryPeers(aExchange, shiftTargets, aOrder)) {
       co_return *outcome;
     }
+    mResolver.ResolveIfStale(aExchange);
   }
-  if (auto slot = mAdmission.TakeSlot(service, Origin::Local)) {
+  if (auto slot = mAdmission.TakeSlot(aExchange.mService, Origin::Local)) {
     co_return co_await SendToSlot(aExchange, *slot, aOrder);
   }
   auto localPeers = mCore.mSteer.InstancesOf(
-    mCore.mSteer.OwnDataCentre(), service, mCore.mMembers, mCore.Now());
+    mCore.mSteer.OwnDataCentre(), aExchange.mService, mCore.mMembers, mCore.Now());
   if (auto outcome = co_await TryPeers(aExchange, localPeers, aOrder)) {
     co_return *outcome;
   }
-  bool mayWait = mCore.mSteer.UsableSlots(service, mCore.Now()) > 0;
+  mResolver.ResolveIfStale(aExchange);
+  bool mayWait = mCore.mSteer.UsableSlots(aExchange.mService, mCore.Now()) > 0;
   if (mayWait) {
-    Duration queueTime = mCore.Config()->ProfileOf(service).mQueueTime;
+    Duration queueTime = aExchange.mConfig->ProfileOf(aExchange.mService).mQueueTime;
     Instant until = std::min(mCore.Now() + queueTime, aExchange.mDeadline);
-    auto slot = co_await mAdmission.WaitForSlot(service, aExchange.mOrganisation, until);
+    auto slot =
+      co_await mAdmission.WaitForSlot(aExchange.mService, aExchange.mOrganisation, until);
     if (slot) {
       co_return co_await SendToSlot(aExchange, *slot, aOrder);
     }
+    mResolver.ResolveIfStale(aExchange);
   }
-  auto remotePeers = mCore.mSteer.ForwardTargets(service, mCore.mMembers, mCore.Now());
+  auto remotePeers =
+    mCore.mSteer.ForwardTargets(aExchange.mService, mCore.mMembers, mCore.Now());
   if (auto outcome = co_await TryPeers(aExchange, remotePeers, aOrder)) {
     co_return *outcome;
   }
--- a/src/entry/resolver.cc
+++ b/src/entry/resolver.cc
@@ -5,22 +5,20 @@
 
 namespace vanillaloft::entry {
 
-using base::RequestError;
-
 decide::OrganisationId Resolver::Identify(const std::string& aKey) const
 {
   if (!mCore.IsReady()) {
-    throw RequestError(Result::NotReady);
+    throw ResolveError(Result::NotReady);
   }
   decide::OrganisationId organisation = mCore.Config()->FindKey(decide::DigestKey(aKey));
   if (organisation.IsNone()) {
-    throw RequestError(Result::KeyUnknown);
+    throw ResolveError(Result::KeyUnknown);
   }
   bool refusesUnconfirmed =
     mCore.Config()->mOrganisations[organisation.Value()].mIsolatedKeys ==
     decide::IsolatedKeys::Refuse;
   if (refusesUnconfirmed && mCore.KeysUnconfirmed()) {
-    throw RequestError(Result::KeysUnconfirmed);
+    throw ResolveError(Result::KeysUnconfirmed);
   }
   return organisation;
 }
@@ -28,7 +26,7 @@
 void Resolver::Resolve(Exchange& aExchange) const
 {
   if (!mCore.IsReady()) {
-    throw RequestError(Result::NotReady);
+    throw ResolveError(Result::NotReady);
   }
   aExchange.mConfig = mCore.Config();
   aExchange.mDebitedBudget = {}; // it indexes the previous configuration
@@ -37,7 +35,7 @@
   aExchange.mRoute = aExchange.mConfig->FindRoute(aExchange.mHost, path);
   if (aExchange.mRoute.IsNone()) {
     aExchange.mService = {};
-    throw RequestError(Result::UnknownRoute);
+    throw ResolveError(Result::UnknownRoute);
   }
   const decide::Route& route = aExchange.MatchedRoute();
   aExchange.mService = decide::SelectService(route, decide::HashOf(aExchange.mRequestId));
@@ -47,11 +45,18 @@
                          ? writes
                          : reads || aExchange.mMethod == "POST";
   if (!methodAllowed && !route.mAnyMethod) {
-    throw RequestError(Result::MethodNotAllowed);
+    throw ResolveError(Result::MethodNotAllowed);
   }
   Authenticate(aExchange);
 }
 
+void Resolver::ResolveIfStale(Exchange& aExchange) const
+{
+  if (aExchange.mConfig != mCore.Config()) {
+    Resolve(aExchange);
+  }
+}
+
 void Resolver::Authenticate(Exchange& aExchange) const
 {
   if (!aExchange.MatchedRoute().NeedsKey()) {
@@ -60,10 +65,10 @@
     aExchange.mOrganisation =
       aExchange.mConfig->FindOrganisation(aExchange.mOrganisationName);
     if (aExchange.mOrganisation.IsNone()) {
-      throw RequestError(Result::KeyUnknown);
+      throw ResolveError(Result::KeyUnknown);
     }
   } else if (!aExchange.mHasKey) {
-    throw RequestError(Result::KeyMissing);
+    throw ResolveError(Result::KeyMissing);
   } else {
     aExchange.mOrganisation = Identify(aExchange.mKey);
   }
--- a/src/entry/resolver.h
+++ b/src/entry/resolver.h
@@ -8,6 +8,14 @@
 
 namespace vanillaloft::entry {
 
+// The configuration in force does not accept the request, so no retry can succeed. The
+// request has not run under this configuration.
+class ResolveError : public base::RequestError
+{
+public:
+  using RequestError::RequestError;
+};
+
 class Resolver
 {
 public:
@@ -18,10 +26,15 @@
 
   // Sets route, service and organisation from the configuration in force. Runs at
   // arrival, and again after each change of the configuration while the request waited,
-  // so that a key withdrawn in the meantime is refused. Throws RequestError.
+  // so that a key withdrawn in the meantime is refused. Throws ResolveError.
   void Resolve(Exchange& aExchange) const;
 
-  // Returns the organisation of a presented key. Throws RequestError.
+  // Resolves a request again if the configuration has changed since. Has to be called
+  // after each wait before the request's indexes are used with the tables of an object
+  // that has the configuration in force. Throws ResolveError.
+  void ResolveIfStale(Exchange& aExchange) const;
+
+  // Returns the organisation of a presented key. Throws ResolveError.
   decide::OrganisationId Identify(const std::string& aKey) const;
 
 private:
--- a/tests/fuzz/main.cc
+++ b/tests/fuzz/main.cc
@@ -153,16 +153,18 @@
     platform::ReadSettings(WriteFile(kPlatformSettings)));
   static decide::Members members("127.0.0.1:2", "ct-a", 3s);
   decide::Fleet fleet("ct-a", members, 1);
-  fleet.SetConfig(decoder.ReadConfig(kPlatformConfig));
+  decide::PlacementQuery query;
+  query.mConfig = decoder.ReadConfig(kPlatformConfig);
+  fleet.SetConfig(query.mConfig);
   auto item = decoder.Decode({ aKey, aText, 1, false });
   base::Instant now{ 1h };
   if (const auto* server = std::get_if<decide::Registration>(&item)) {
     fleet.Register(*server, now);
   }
   if (const auto* config = std::get_if<decide::ConfigPtr>(&item)) {
-    fleet.SetConfig(*config);
+    query.mConfig = *config;
+    fleet.SetConfig(query.mConfig);
   }
-  decide::PlacementQuery query;
   query.mService = decide::ServiceId(0);
   decide::ServerChoice choice = fleet.Choose(query, now);
   if (choice.mServer) {
--- a/tests/unit/decide_fleet.cc
+++ b/tests/unit/decide_fleet.cc
@@ -38,12 +38,13 @@
 {
   Members mMembers{ "127.0.0.1:2", "east-a" };
   Fleet mFleet;
+  ConfigPtr mConfig = TwoRegions();
   Instant mNow = kStart;
 
   explicit Fixture(double aMaxShift = kUnlimitedShift)
     : mFleet("east-a", mMembers, aMaxShift)
   {
-    mFleet.SetConfig(TwoRegions());
+    mFleet.SetConfig(mConfig);
   }
 
   void AddServers(const std::string& aDataCentre, int aCount)
@@ -53,9 +54,10 @@
     }
   }
 
-  static PlacementQuery QueryFor(const std::string& aObject)
+  PlacementQuery QueryFor(const std::string& aObject) const
   {
     PlacementQuery query;
+    query.mConfig = mConfig;
     query.mService = ServiceId(0);
     query.mObject = aObject;
     return query;
@@ -90,7 +92,7 @@
   Fixture fixture;
   fixture.AddServers("east-a", 3);
   fixture.AddServers("west-a", 3);
-  PlacementQuery query = Fixture::QueryFor("17");
+  PlacementQuery query = fixture.QueryFor("17");
   ServerPtr first = fixture.Choose(query);
   REQUIRE(first);
   CHECK(first->mRegistration.mDataCentre == "east-a");
@@ -108,8 +110,9 @@
     other.mFleet.Register(ServerAt(fmt::format("east-a-{}", i), "east-a"), kStart);
   }
   for (int object = 0; object < 40; ++object) {
-    PlacementQuery query = Fixture::QueryFor(std::to_string(object));
-    CHECK(IdOf(one.Choose(query)) == IdOf(other.Choose(query)));
+    std::string name = std::to_string(object);
+    CHECK(IdOf(one.Choose(one.QueryFor(name))) ==
+          IdOf(other.Choose(other.QueryFor(name))));
     for (const auto& [id, server] : one.mFleet.Servers()) {
       server->mInFlight = 0;
     }
@@ -119,6 +122,17 @@
   }
 }
 
+// Guards against a request that runs at another service (ROUTE): an index of one
+// configuration names another service in the next one.
+TEST_CASE("a query with indexes of another configuration gets no server")
+{
+  Fixture fixture;
+  fixture.AddServers("east-a", 1);
+  PlacementQuery query = fixture.QueryFor("17");
+  fixture.mFleet.SetConfig(TwoRegions());
+  CHECK_FALSE(fixture.Choose(query));
+}
+
 // With many users at once, spillover of each request to any server with room spread all
 // objects over all servers, and all became slow.
 TEST_CASE("requests for a full server's objects spill to few servers only")
@@ -127,7 +141,7 @@
   fixture.AddServers("east-a", 4);
   fixture.AddServers("east-b", 4);
   fixture.AddServers("west-a", 4);
-  PlacementQuery query = Fixture::QueryFor("17");
+  PlacementQuery query = fixture.QueryFor("17");
   query.mMaySpill = true;
   std::set<std::string> used;
   while (ServerPtr server = fixture.Choose(query)) {
@@ -155,7 +169,7 @@
 {
   Fixture fixture;
   fixture.AddServers("east-a", 2);
-  PlacementQuery query = Fixture::QueryFor("17");
+  PlacementQuery query = fixture.QueryFor("17");
   while (fixture.Choose(query)) {
   }
   query.mMaySpill = true;
@@ -170,7 +184,7 @@
 {
   Fixture fixture;
   fixture.AddServers("east-a", 1);
-  PlacementQuery query = Fixture::QueryFor("17");
+  PlacementQuery query = fixture.QueryFor("17");
   ServerPtr server = fixture.Choose(query);
   for (int i = 0; i < 20; ++i) {
     fixture.mFleet.RecordLoad(server, { 4, 1, 4 }, 250ms, fixture.mNow);
@@ -201,7 +215,7 @@
 {
   Fixture fixture;
   fixture.AddServers("east-a", 1);
-  PlacementQuery query = Fixture::QueryFor("17");
+  PlacementQuery query = fixture.QueryFor("17");
   Registration draining = ServerAt("east-a-0", "east-a");
   draining.mDraining = true;
   fixture.mFleet.Register(draining, fixture.mNow);
@@ -226,7 +240,7 @@
   Fixture fixture;
   fixture.AddServers("east-a", 1);
   fixture.AddServers("west-a", 1);
-  PlacementQuery query = Fixture::QueryFor("17");
+  PlacementQuery query = fixture.QueryFor("17");
   query.mRouteHomes = { RegionId(1) };
   CHECK(IdOf(fixture.Choose(query)) == "west-a-0");
   query.mOrganisationHomes = { RegionId(0) };
@@ -244,7 +258,7 @@
   cold.mColdLeft = 10s;
   fixture.mFleet.Register(cold, fixture.mNow);
   int sent = 0;
-  PlacementQuery query = Fixture::QueryFor("17");
+  PlacementQuery query = fixture.QueryFor("17");
   query.mMaySpill = true;
   for (int i = 0; i < 500; ++i, fixture.mNow += 10ms) {
     ServerPtr server = fixture.Choose(query);
@@ -259,7 +273,7 @@
 {
   Fixture fixture;
   fixture.AddServers("east-a", 2);
-  PlacementQuery query = Fixture::QueryFor("17");
+  PlacementQuery query = fixture.QueryFor("17");
   ServerPtr first = fixture.ChooseAndFail(query);
   CHECK(fixture.Choose(query) != first);
 }
@@ -270,7 +284,7 @@
 {
   Fixture fixture;
   fixture.AddServers("east-a", 2);
-  PlacementQuery query = Fixture::QueryFor("17");
+  PlacementQuery query = fixture.QueryFor("17");
   ServerPtr first = fixture.ChooseAndFail(query);
   CHECK(fixture.Choose(query) != first);
   fixture.mNow += 4s;
@@ -282,7 +296,7 @@
 {
   Fixture fixture;
   fixture.AddServers("east-a", 1);
-  PlacementQuery query = Fixture::QueryFor("17");
+  PlacementQuery query = fixture.QueryFor("17");
   ServerPtr server = fixture.Choose(query);
   fixture.mFleet.RecordLoad(server, { 0, 0, 4 }, 1ms, fixture.mNow);
   fixture.mFleet.RecordResult(server, SendResult::Full, fixture.mNow);
@@ -296,7 +310,7 @@
 {
   Fixture fixture;
   fixture.AddServers("east-a", 2);
-  PlacementQuery query = Fixture::QueryFor("17");
+  PlacementQuery query = fixture.QueryFor("17");
   ServerPtr first = fixture.Choose(query);
   fixture.mFleet.RecordLoad(first, { 5, 0, 4 }, 100ms, fixture.mNow);
   fixture.mNow += 20ms;
--- a/tests/unit/entry.cc
+++ b/tests/unit/entry.cc
@@ -34,6 +34,31 @@
     decide::DigestText("lenient key"));
 }
 
+constexpr const char* kOkResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+// The configuration with one more service before the others.
+std::string WithFirstService(const std::string& aName, unsigned aRevision)
+{
+  std::string text = ConfigText(aRevision, "strict key");
+  std::string service = fmt::format(
+    R"({{"name":"{0}","profile":"p","routes":[{{"path":"/{0}/","kind":"open"}}],
+        "backend_servers":[]}},)",
+    aName);
+  std::string list = R"("services":[)";
+  return text.insert(text.find(list) + list.size(), service);
+}
+
+// The configuration with a last service "z" that has one backend server with one slot.
+std::string WithBackendServer(unsigned aRevision)
+{
+  std::string text = ConfigText(aRevision, "strict key");
+  std::string service =
+    R"(,{"name":"z","profile":"p","routes":[{"path":"/z/","kind":"open"}],
+        "backend_servers":[{"name":"z-1","data_centre":"d1","address":"127.0.0.1:1",
+                            "slots":1}]})";
+  return text.insert(text.rfind(']'), service);
+}
+
 struct Fixture
 {
   boost::asio::io_context mContext;
@@ -66,6 +91,41 @@
     mClock.Advance(2s);
   }
 
+  void AddServer(const std::string& aId,
+                 const std::string& aService,
+                 const base::HostPort& aAddress,
+                 unsigned aSlots)
+  {
+    decide::Registration registration;
+    registration.mId = aId;
+    registration.mService = aService;
+    registration.mDataCentre = "d1";
+    registration.mAddress = aAddress;
+    registration.mSlots = aSlots;
+    mCore.mFleet.Register(registration, mClock.Now());
+  }
+
+  Exchange ResolvedLookup(const std::string& aTarget, const std::string& aKey = "")
+  {
+    Exchange exchange;
+    exchange.mHasKey = !aKey.empty();
+    exchange.mKey = aKey;
+    exchange.mMethod = "GET";
+    exchange.mTarget = aTarget;
+    exchange.mRequestId = "1";
+    exchange.mArrival = mClock.Now();
+    exchange.mDeadline = exchange.mArrival + 5s;
+    Resolver(mCore).Resolve(exchange);
+    return exchange;
+  }
+
+  // Calls a function on the context's thread after a delay in real time.
+  void After(std::chrono::milliseconds aDelay, std::function<void()> aFunction)
+  {
+    auto timer = std::make_shared<boost::asio::steady_timer>(mContext, aDelay);
+    timer->async_wait([timer, call = std::move(aFunction)](auto) { call(); });
+  }
+
   Result ResultOf(const std::string& aMethod,
                   const std::string& aTarget,
                   const std::string& aKey,
@@ -289,6 +349,95 @@
   CHECK(server.Received().empty());
 }
 
+// Guards against a request that runs at another service (ROUTE): the indexes of a waiting
+// request were used with the tables of a newer configuration, which has another order.
+TEST_CASE("a request that waits for capacity keeps its service when services are added")
+{
+  Fixture fixture;
+  DirectPlacement direct(fixture.mCore, fixture.mBackend);
+  test::CannedServer other(fixture.mContext, kOkResponse);
+  fixture.AddServer("i-full", "s", { "127.0.0.1", 1 }, 0);
+  fixture.AddServer("i-other", "a", other.Address(), 4);
+  Exchange exchange = fixture.ResolvedLookup("/open");
+  fixture.After(10ms, [&] {
+    fixture.mCore.AcceptConfig(decide::ParseConfig(WithFirstService("a", 2)));
+    fixture.mClock.Advance(1s);
+  });
+  CHECK_THROWS_AS(test::RunCoroutine(fixture.mContext, direct.Place(exchange)),
+                  base::RequestError);
+  CHECK(other.Received().empty());
+}
+
+// Guards against the same failure at a retry: the configuration changes between the first
+// server and the second one.
+TEST_CASE("a retried request keeps its service when services are added")
+{
+  Fixture fixture;
+  DirectPlacement direct(fixture.mCore, fixture.mBackend);
+  test::CannedServer other(fixture.mContext, kOkResponse);
+  test::CannedServer own(fixture.mContext, kOkResponse);
+  fixture.AddServer("i-closed", "s", { "127.0.0.1", 1 }, 4);
+  fixture.AddServer("i-other", "a", other.Address(), 4);
+  Exchange exchange = fixture.ResolvedLookup("/open");
+  boost::asio::post(fixture.mContext, [&] {
+    fixture.mCore.AcceptConfig(decide::ParseConfig(WithFirstService("a", 2)));
+    fixture.AddServer("i-own", "s", own.Address(), 4);
+  });
+  decide::Outcome outcome = test::RunCoroutine(fixture.mContext, direct.Place(exchange));
+  CHECK(outcome.mResult == Result::Ok);
+  CHECK(other.Received().empty());
+  CHECK_FALSE(own.Received().empty());
+}
+
+// Guards against a request that is sent without its organisation: its key is withdrawn
+// between the first server and the second one.
+TEST_CASE("a request whose key is withdrawn before a retry is refused")
+{
+  Fixture fixture;
+  DirectPlacement direct(fixture.mCore, fixture.mBackend);
+  test::CannedServer second(fixture.mContext, kOkResponse);
+  fixture.AddServer("i-closed", "s", { "127.0.0.1", 1 }, 4);
+  Exchange exchange = fixture.ResolvedLookup("/s/x", "strict key");
+  boost::asio::post(fixture.mContext, [&] {
+    fixture.mCore.AcceptConfig(decide::ParseConfig(ConfigText(2, "new key")));
+    fixture.AddServer("i-second", "s", second.Address(), 4);
+  });
+  Result result = Result::Ok;
+  try {
+    test::RunCoroutine(fixture.mContext, direct.Place(exchange));
+  } catch (const base::RequestError& error) {
+    result = error.Code();
+  }
+  CHECK(result == Result::KeyUnknown);
+  CHECK(second.Received().empty());
+}
+
+// Guards against the same failure in the native placement: after a wait, the request's
+// indexes were used with a configuration that no longer has its service.
+TEST_CASE(
+  "a request that waits for a slot is resolved again after a configuration change")
+{
+  Fixture fixture;
+  std::string open = WithBackendServer(2);
+  fixture.mCore.AcceptConfig(decide::ParseConfig(open));
+  decide::Steering& steer = fixture.mCore.mSteer;
+  const decide::Members& members = fixture.mCore.mMembers;
+  steer.UpdateOwnership(members, false, fixture.mClock.Now());
+  steer.Report(
+    decide::BackendServerId(0), decide::ServerState::Serving, fixture.mClock.Now());
+  for (Duration owned{}; owned < decide::kHandOverDelay; owned += decide::kFreezeLimit) {
+    fixture.mClock.Advance(decide::kFreezeLimit);
+    steer.UpdateOwnership(members, false, fixture.mClock.Now());
+  }
+  decide::ServiceId service = fixture.mCore.Config()->FindService("z");
+  auto taken = fixture.mAdmission.TakeSlot(service, decide::Origin::Local);
+  REQUIRE(taken);
+  fixture.After(10ms, [&] {
+    fixture.mCore.AcceptConfig(decide::ParseConfig(ConfigText(3, "strict key")));
+  });
+  CHECK(fixture.ResultOf("GET", "/z/x", "") == Result::UnknownRoute);
+}
+
 // Guards against serving requests without a caller: a process that was suspended reads
 // requests whose callers have disconnected in the meantime.
 TEST_CASE("a caller that closed before its request was read is reported as disconnected")
