co_await is no longer an operand of && or ||, which g++ 12 evaluates wrongly

Cause: LimitFilter's condition "!budget.IsNone() && !co_await TakeTokens(budget, ...)". g++ 12.2 runs the awaited call although the left operand is false, so a budget with the index of "none" was looked up. The new unit test (an organisation without a limit) ended with SIGSEGV before the change. Why it works: a call in a statement of its own runs only if control reaches it. Unit tests pass.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 PACKAGES = $(BUILD_PACKAGES) $(TEST_PACKAGES)
 
 .PHONY: build install-packages demo test unit scenarios model explore fuzz process bench capacity asan \
-  tsan format check-format tidy packages package-lists inventory
+  tsan format check-format check-co-await tidy packages package-lists inventory
 
 # Installs only missing packages, so that a repeated run is safe and needs no network. Recommended packages
 # are not installed, as on the users' machines.
@@ -76,7 +76,10 @@
 check-format:
 	@git ls-files '*.cc' '*.h' | grep -v /gen/ | xargs clang-format --dry-run --Werror
 
-
+# Fails if co_await is an operand of &&, || or ?:, which g++ 12 evaluates wrongly.
+check-co-await:
+	@python3 tests/style/co_await_test.py
+	@git ls-files '*.cc' '*.h' | grep -v /gen/ | xargs python3 tools/co_await.py
 
 tidy: build
 	@git ls-files 'src/*.cc' 'platform/*.cc' | grep -v /gen/ | xargs -P 8 -n 1 clang-tidy -p $(BUILD) --quiet
--- a/src/daemon/loops.cc
+++ b/src/daemon/loops.cc
@@ -299,8 +299,12 @@
       }
       mCore.mShares.Observe(decide::ShareDocument::Parse(value.mText), mCore.Now());
       auto documentWithoutSelf = mCore.mShares.ReleaseShares(mCore.Now());
-      if (!documentWithoutSelf || co_await mStore.CompareAndSwap(
-                                    key, value.mVersion, documentWithoutSelf->Text())) {
+      bool released = !documentWithoutSelf;
+      if (!released) {
+        released = co_await mStore.CompareAndSwap(
+          key, value.mVersion, documentWithoutSelf->Text());
+      }
+      if (released) {
         Log(spdlog::level::info, Event::ShareReleased, "");
         co_return;
       }
--- a/src/daemon/runner.cc
+++ b/src/daemon/runner.cc
@@ -127,8 +127,10 @@
     co_return;
   }
   bool changes = update.mChange.has_value() || update.mRestore;
-  if (changes && !co_await ApplyChange(update, std::move(config), run)) {
-    co_return;
+  if (changes) {
+    if (!co_await ApplyChange(update, std::move(config), run)) {
+      co_return;
+    }
   }
   update.mNext.mRunner = mCore.Self();
   update.mNext.mSequence = run.mSequence + 1;
--- a/src/entry/pipeline.cc
+++ b/src/entry/pipeline.cc
@@ -158,8 +158,10 @@
   decide::BudgetId budget = BudgetOf(aExchange);
   Instant until =
     aExchange.mArrival + aExchange.mConfig->ProfileOf(aExchange.mService).mQueueTime;
-  while (!budget.IsNone() &&
-         !co_await mAdmission.TakeTokens(budget, decide::kToken, until)) {
+  while (!budget.IsNone()) {
+    if (co_await mAdmission.TakeTokens(budget, decide::kToken, until)) {
+      break;
+    }
     if (aExchange.mConfig == mCore.Config()) {
       throw RequestError(Result::RateExceeded);
     }
--- a/tests/unit/entry.cc
+++ b/tests/unit/entry.cc
@@ -305,6 +305,18 @@
   }
 }
 
+// Guards against processes that end at a request of an organisation without a limit
+// (LOST): its budget was looked up although it has none.
+TEST_CASE("a request of an organisation without a limit takes no token")
+{
+  Fixture fixture;
+  auto config =
+    std::make_shared<decide::Config>(*decide::ParseConfig(ConfigText(2, "strict key")));
+  config->mOrganisations[1].mBudget = {};
+  fixture.mCore.AcceptConfig(config);
+  CHECK(fixture.ResultOf("GET", "/s/x", "lenient key") == Result::NoBackendServer);
+}
+
 TEST_CASE("a token is not refunded to another organisation of a newer configuration")
 {
   Fixture fixture;
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -53,6 +53,7 @@
 echo "== format"
 check format make --no-print-directory check-format
 check names tools/names.sh
+check co-await make --no-print-directory check-co-await
 echo "== packages of the build"
 checks python3 tests/packages/check.py
 echo "== unit tests"
