A request that takes over a configuration clears its indexes into the earlier one

Cause: Resolve set the new configuration and then refused the key, but left the index of the organisation. The log line of the request's end read the new, shorter table with it. The new unit tests found the stale index after a removed organisation, a removed route and a refused method; they need no wait and no luck. Change: Exchange::UseConfig takes over a configuration and clears all four indexes. Why it works: each index is set from the tables of the request's own configuration only, also when the resolution is left by an exception. Unit tests pass.

--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -57,6 +57,16 @@
   std::string mSendLog;                // each send and its result, for the log
   std::string mRefusalLog; // servers without free capacity at a refusal, for the log
 
+  // Takes over a configuration. Indexes into the tables of the former one are cleared.
+  void UseConfig(decide::ConfigPtr aConfig)
+  {
+    mConfig = std::move(aConfig);
+    mRoute = {};
+    mService = {};
+    mOrganisation = {};
+    mDebitedBudget = {};
+  }
+
   const decide::Route& MatchedRoute() const { return mConfig->mRoutes[mRoute.Value()]; }
   const std::string& ServiceName() const
   {
--- a/src/entry/resolver.cc
+++ b/src/entry/resolver.cc
@@ -28,13 +28,11 @@
   if (!mCore.IsReady()) {
     throw ResolveError(Result::NotReady);
   }
-  aExchange.mConfig = mCore.Config();
-  aExchange.mDebitedBudget = {}; // it indexes the previous configuration
+  aExchange.UseConfig(mCore.Config());
   std::string_view path =
     std::string_view(aExchange.mTarget).substr(0, aExchange.mTarget.find('?'));
   aExchange.mRoute = aExchange.mConfig->FindRoute(aExchange.mHost, path);
   if (aExchange.mRoute.IsNone()) {
-    aExchange.mService = {};
     throw ResolveError(Result::UnknownRoute);
   }
   const decide::Route& route = aExchange.MatchedRoute();
@@ -60,8 +58,9 @@
 void Resolver::Authenticate(Exchange& aExchange) const
 {
   if (!aExchange.MatchedRoute().NeedsKey()) {
-    aExchange.mOrganisation = {};
-  } else if (!aExchange.mOrganisationName.empty()) {
+    return;
+  }
+  if (!aExchange.mOrganisationName.empty()) {
     aExchange.mOrganisation =
       aExchange.mConfig->FindOrganisation(aExchange.mOrganisationName);
     if (aExchange.mOrganisation.IsNone()) {
--- a/tests/unit/entry.cc
+++ b/tests/unit/entry.cc
@@ -317,6 +317,48 @@
   CHECK(fixture.ResultOf("GET", "/s/x", "lenient key") == Result::NoBackendServer);
 }
 
+// Guards against processes that end, or log foreign bytes, when an organisation is
+// removed while its requests wait (LOST): the request kept its index into the earlier
+// table.
+TEST_CASE("a request whose organisation is removed has no index into the earlier tables")
+{
+  Fixture fixture;
+  Exchange exchange = fixture.ResolvedLookup("/s/x", "lenient key");
+  REQUIRE(exchange.mOrganisation == decide::OrganisationId(1));
+  auto config =
+    std::make_shared<decide::Config>(*decide::ParseConfig(ConfigText(2, "strict key")));
+  config->mOrganisations.pop_back();
+  config->mKeys.clear();
+  fixture.mCore.AcceptConfig(config);
+  CHECK_THROWS_AS(Resolver(fixture.mCore).ResolveIfStale(exchange), ResolveError);
+  CHECK(exchange.mConfig == config);
+  CHECK(exchange.mOrganisation.IsNone());
+  CHECK(exchange.OrganisationNameOr("-") == "-");
+}
+
+// The same where the route is removed, or no longer accepts the method.
+TEST_CASE("a request that is no longer accepted has no index into the earlier tables")
+{
+  Fixture fixture;
+  auto config =
+    std::make_shared<decide::Config>(*decide::ParseConfig(ConfigText(2, "strict key")));
+  SUBCASE("route removed")
+  {
+    config->mRoutes.clear();
+  }
+  SUBCASE("method refused")
+  {
+    for (decide::Route& route : config->mRoutes) {
+      route.mKind = decide::RouteKind::Order;
+    }
+  }
+  Exchange exchange = fixture.ResolvedLookup("/s/x", "lenient key");
+  fixture.mCore.AcceptConfig(config);
+  CHECK_THROWS_AS(Resolver(fixture.mCore).ResolveIfStale(exchange), ResolveError);
+  CHECK(exchange.mConfig == config);
+  CHECK(exchange.mOrganisation.IsNone());
+}
+
 TEST_CASE("a token is not refunded to another organisation of a newer configuration")
 {
   Fixture fixture;
