A replica is confirmed only by one that has tombstones of all deletions it may lack

Cause: an instance that restarts lists the entries. A deletion before its listing leaves no trace, so its newest change is older than the deletion. Another replica that still had the entry took it for current, took over its complete revision from a heartbeat, and watched only for changes after that. The new tests of two replicas, and of a heartbeat between two instances, advanced past the deletion before. Change: a position tells from where the replica has tombstones (in heartbeats too, as an optional field; an earlier build's absence counts as none). ConfirmCurrent requires that this replica was complete up to there. Why it works: between a replica's own complete revision and the peer's there is then no change that the peer has not seen, and it has seen none that this replica lacks. What it costs: a restarted instance confirms others only once their own watch, or a peer that ran on, has brought them past its listing. If neither does within 6 s, all items are fetched, which only a long cut should cause.

--- a/src/entry/replication.cc
+++ b/src/entry/replication.cc
@@ -1,5 +1,7 @@
 #include "entry/replication.h"
 
+#include <algorithm>
+
 #include "entry/background.h"
 
 namespace vanillaloft::entry {
@@ -14,12 +16,24 @@
 // between data centres is expensive.
 constexpr Duration kPeerFetchDelay = std::chrono::milliseconds(700);
 constexpr Duration kRemotePeerFetchDelay = 3 * kPeerFetchDelay;
+// A replica that may lack deletions is normally confirmed by its own watch, which ends
+// sooner than this, or by a peer that has their tombstones. After it, all items are
+// fetched.
+constexpr Duration kUnconfirmedFetchDelay = std::chrono::seconds(6);
 
 store::Item FromWire(const wire::Item& aItem)
 {
   return { aItem.key(), aItem.value(), aItem.revision(), aItem.deleted() };
 }
 
+// An instance of an earlier build does not tell from where it has tombstones.
+store::ReplicaPosition FromWire(const wire::Reach& aReach)
+{
+  std::uint64_t tombstonesFrom =
+    aReach.has_tombstones_from() ? aReach.tombstones_from() : aReach.complete();
+  return { aReach.complete(), aReach.changed(), tombstonesFrom };
+}
+
 } // namespace
 
 void Replication::ReportReplicas(wire::Status& aStatus) const
@@ -32,6 +46,7 @@
       position->set_complete(replica.Position().mCompleteRevision);
       position->set_changed(replica.Position().mLastChangeRevision);
       position->set_age_ms(AgeInMs(replica));
+      position->set_tombstones_from(replica.Position().mTombstonesFrom);
     }
   }
 }
@@ -53,22 +68,24 @@
     }
     store::Replica& replica = mCore.mReplicas[reported.part()];
     Lag& lag = mLags[reported.part()];
-    store::ReplicaPosition position{ reported.complete(), reported.changed() };
+    store::ReplicaPosition position = FromWire(reported);
     if (aRequestedAt) {
       Instant asOf = *aRequestedAt - peer::TimeFromWire(reported.age_ms());
       mCore.RecordStoreAnswer(asOf);
       replica.ConfirmCurrent(position, asOf);
     }
-    if (replica.HasListing() && !replica.IsBehind(position)) {
+    bool behind = !replica.HasListing() || replica.IsBehind(position);
+    if (!behind && !replica.MayLackDeletions(position)) {
       continue;
     }
     if (lag.mSince == Instant() ||
         replica.Position().mCompleteRevision >= lag.mRevision) {
-      lag.mRevision = position.mLastChangeRevision;
+      lag.mRevision = std::max(position.mLastChangeRevision, position.mTombstonesFrom);
       lag.mSince = mCore.Now();
     }
     bool sameDataCentre = aStatus.data_centre() == mCore.mSettings.mDataCentre;
     Duration delay = sameDataCentre ? kPeerFetchDelay : kRemotePeerFetchDelay;
+    delay = behind ? delay : kUnconfirmedFetchDelay;
     if (mCore.Now() - lag.mSince >= delay && !lag.mFetching) {
       auto section = static_cast<store::StoreSection>(reported.part());
       Spawn(mCore.mContext, "fetch-items", FetchItemsFrom(aStatus.address(), section));
--- a/src/store/replica.cc
+++ b/src/store/replica.cc
@@ -59,9 +59,9 @@
   }
   auto median = revisions.begin() + static_cast<std::ptrdiff_t>(revisions.size() / 2);
   std::ranges::nth_element(revisions, median);
-  mTombstonesFrom = std::max(mTombstonesFrom, *median);
+  mPosition.mTombstonesFrom = std::max(mPosition.mTombstonesFrom, *median);
   mTombstoneCount -= std::erase_if(mItems, [&](const auto& aEntry) {
-    return aEntry.second.mDeleted && aEntry.second.mRevision <= mTombstonesFrom;
+    return aEntry.second.mDeleted && aEntry.second.mRevision <= mPosition.mTombstonesFrom;
   });
 }
 
@@ -83,7 +83,7 @@
   }
   std::vector<Item> changed = Merge(missing);
   std::ranges::move(Merge(aListing.mItems), std::back_inserter(changed));
-  mTombstonesFrom = std::max(mTombstonesFrom, aListing.mRevision);
+  mPosition.mTombstonesFrom = std::max(mPosition.mTombstonesFrom, aListing.mRevision);
   AdvancePosition(aListing.mRevision, aAsOf);
   return changed;
 }
@@ -103,7 +103,7 @@
 
 void Replica::ConfirmCurrent(const ReplicaPosition& aOther, Instant aAsOf)
 {
-  if (HasListing() && !IsBehind(aOther)) {
+  if (HasListing() && !IsBehind(aOther) && !MayLackDeletions(aOther)) {
     AdvancePosition(aOther.mCompleteRevision, aAsOf);
   }
 }
@@ -111,7 +111,7 @@
 ReplicaDelta Replica::DeltaSince(std::uint64_t aCompleteRevision) const
 {
   ReplicaDelta delta;
-  delta.mIsFullListing = aCompleteRevision < mTombstonesFrom;
+  delta.mIsFullListing = aCompleteRevision < mPosition.mTombstonesFrom;
   delta.mBatch.mRevision = mPosition.mCompleteRevision;
   for (const auto& [key, item] : mItems) {
     bool included =
--- a/src/store/replica.h
+++ b/src/store/replica.h
@@ -29,6 +29,9 @@
 {
   std::uint64_t mCompleteRevision = 0;   // the replica has all changes up to here
   std::uint64_t mLastChangeRevision = 0; // of the newest change in the replica
+  // The replica has tombstones of all deletions after this revision. Earlier ones may
+  // have left no trace in it.
+  std::uint64_t mTombstonesFrom = 0;
 };
 
 // The items that one replica has and another lacks.
@@ -55,9 +58,15 @@
   {
     return aOther.mLastChangeRevision > mPosition.mCompleteRevision;
   }
-  // Marks this replica as current as of aAsOf, if it lacks nothing that the other replica
-  // has. The other replica was as recent as the store at aAsOf. No effect before the
-  // first listing.
+  // Returns true if there may be deletions that this replica lacks and the other replica
+  // has no tombstones of.
+  bool MayLackDeletions(const ReplicaPosition& aOther) const
+  {
+    return aOther.mTombstonesFrom > mPosition.mCompleteRevision;
+  }
+  // Marks this replica as current as of aAsOf, if it lacks no change up to the other
+  // replica's complete revision. The other replica was as recent as the store at aAsOf.
+  // No effect before the first listing.
   void ConfirmCurrent(const ReplicaPosition& aOther, Instant aAsOf);
 
   // Returns the items that a replica which is complete up to aCompleteRevision lacks.
@@ -78,7 +87,6 @@
   std::map<std::string, Item> mItems; // by key, including tombstones
   std::size_t mTombstoneCount = 0;
   ReplicaPosition mPosition;
-  std::uint64_t mTombstonesFrom = 0; // tombstones of all later deletions are kept
   std::optional<Instant> mAsOf;
 };
 
--- a/tests/unit/entry.cc
+++ b/tests/unit/entry.cc
@@ -10,6 +10,7 @@
 #include "entry/listener.h"
 #include "entry/lookup.h"
 #include "entry/pipeline.h"
+#include "entry/replication.h"
 
 using namespace vanillaloft;
 using namespace vanillaloft::entry;
@@ -500,6 +501,28 @@
   CHECK_FALSE(SeenAsDisconnected(false));
 }
 
+// Guards against an instance that never learns that a server left (DRAIN), through the
+// heartbeats: the status of a restarted peer must not confirm a replica that may lack a
+// deletion, however often it comes.
+TEST_CASE("the heartbeat of a restarted peer does not confirm an older replica")
+{
+  Fixture cutOff;
+  Fixture restarted;
+  constexpr auto kSection = store::StoreSection::Registrations;
+  cutOff.mCore.mOnItemsChanged = [](const std::vector<store::Item>&) {};
+  store::Item item{ "server", "value", 5, false };
+  store::Replica& replica = cutOff.mCore.ReplicaOf(kSection);
+  replica.ApplyListing({ { item }, 10 }, cutOff.mClock.Now());
+  restarted.mCore.ReplicaOf(kSection).ApplyListing({ {}, 30 }, restarted.mClock.Now());
+  peer::wire::Status status;
+  Replication(restarted.mCore).ReportReplicas(status);
+  Replication replication(cutOff.mCore);
+  for (int i = 0; i < 3; ++i) {
+    replication.HandlePeerStatus(status, cutOff.mClock.Now());
+  }
+  CHECK(replica.Position().mCompleteRevision == 10);
+}
+
 TEST_CASE("a leaving instance issues no tickets")
 {
   Fixture fixture;
--- a/tests/unit/store_replica.cc
+++ b/tests/unit/store_replica.cc
@@ -95,6 +95,23 @@
   CHECK_FALSE(unlisted.HasListing());
 }
 
+// Guards against an instance that never learns that a server left (DRAIN): a peer that
+// has restarted lists the items after a deletion, so its newest change is older than that
+// deletion, and it must not confirm a replica that still has the item.
+TEST_CASE("a replica is not confirmed by one that listed after a deletion it may lack")
+{
+  Replica behind = ListedReplica();
+  Replica restarted;
+  restarted.ApplyListing({ { Written("a", 3) }, 30 }, kStart + 1s);
+  behind.ConfirmCurrent(restarted.Position(), kStart + 1s);
+  CHECK(behind.Position().mCompleteRevision == 10);
+  CHECK(behind.AsOf() == kStart);
+  auto changed = behind.ApplyChanges({ { Deleted("b", 20) }, 31 }, kStart + 2s);
+  CHECK(changed.size() == 1);
+  behind.ConfirmCurrent(restarted.Position(), kStart + 3s);
+  CHECK(behind.AsOf() == kStart + 3s);
+}
+
 TEST_CASE("an item that is written again after its deletion is reported as changed")
 {
   Replica replica = ListedReplica();
