An older listing or watch does not bring back an item that was deleted since

Cause: a starting instance may get a newer listing from a peer before its own, slower one arrives. A listing has no tombstones, so the older one's items that the newer one lacks counted as new. The answer to a watch that was sent before the newer listing did the same. Evidence: two new unit tests of the replica, which brought the item back before. Change: an item up to the replica's complete revision that the replica does not have was deleted; it is skipped, in changes always, in a listing if the replica is newer. Why it works: complete up to a revision means that each item up to there is either known or gone. The slow start itself was not played.

--- a/src/store/replica.cc
+++ b/src/store/replica.cc
@@ -29,11 +29,15 @@
   return true;
 }
 
-std::vector<Item> Replica::Merge(const std::vector<Item>& aItems)
+// An item up to aKnownUpTo that the replica lacks was deleted since, even if its
+// tombstone is gone.
+std::vector<Item> Replica::Merge(const std::vector<Item>& aItems,
+                                 std::uint64_t aKnownUpTo)
 {
   std::vector<Item> changed;
   for (const Item& item : aItems) {
-    if (PutIfNewer(item)) {
+    bool known = item.mRevision <= aKnownUpTo && !mItems.contains(item.mKey);
+    if (!known && PutIfNewer(item)) {
       changed.push_back(item);
     }
   }
@@ -68,7 +72,8 @@
 // An item that the listing lacks was deleted since the last update, unless it is newer
 // than the listing. Items that were both created and deleted in between are unknown, so
 // there are no tombstones for them, and older revisions get a full listing from this
-// replica.
+// replica. A listing may arrive after a newer one from a peer, and then adds only newer
+// items, which its later pages may have.
 std::vector<Item> Replica::ApplyListing(const ItemBatch& aListing, Instant aAsOf)
 {
   std::set<std::string> listed;
@@ -81,8 +86,10 @@
       missing.push_back({ key, "", aListing.mRevision, true });
     }
   }
-  std::vector<Item> changed = Merge(missing);
-  std::ranges::move(Merge(aListing.mItems), std::back_inserter(changed));
+  bool older = aListing.mRevision < mPosition.mCompleteRevision;
+  std::uint64_t knownUpTo = older ? mPosition.mCompleteRevision : 0;
+  std::vector<Item> changed = Merge(missing, 0);
+  std::ranges::move(Merge(aListing.mItems, knownUpTo), std::back_inserter(changed));
   mPosition.mTombstonesFrom = std::max(mPosition.mTombstonesFrom, aListing.mRevision);
   AdvancePosition(aListing.mRevision, aAsOf);
   return changed;
@@ -90,7 +97,7 @@
 
 std::vector<Item> Replica::ApplyChanges(const ItemBatch& aChanges, Instant aAsOf)
 {
-  std::vector<Item> changed = Merge(aChanges.mItems);
+  std::vector<Item> changed = Merge(aChanges.mItems, mPosition.mCompleteRevision);
   AdvancePosition(aChanges.mRevision, aAsOf);
   return changed;
 }
--- a/src/store/replica.h
+++ b/src/store/replica.h
@@ -79,7 +79,7 @@
   const std::optional<Instant>& AsOf() const { return mAsOf; }
 
 private:
-  std::vector<Item> Merge(const std::vector<Item>& aItems);
+  std::vector<Item> Merge(const std::vector<Item>& aItems, std::uint64_t aKnownUpTo);
   bool PutIfNewer(const Item& aItem);
   void AdvancePosition(std::uint64_t aCompleteRevision, Instant aAsOf);
   void PruneTombstones();
--- a/tests/unit/store_replica.cc
+++ b/tests/unit/store_replica.cc
@@ -112,6 +112,30 @@
   CHECK(behind.AsOf() == kStart + 3s);
 }
 
+// Guards against a server that left and comes back (DRAIN): a starting instance gets a
+// newer listing from a peer before its own, slower one arrives.
+TEST_CASE("an older listing does not bring back an item that was deleted since")
+{
+  Replica replica;
+  replica.ApplyListing({ { Written("a", 3) }, 30 }, kStart + 2s);
+  ItemBatch older{ { Written("a", 3), Written("b", 5), Written("late page", 32) }, 20 };
+  auto changed = replica.ApplyListing(older, kStart + 1s);
+  REQUIRE(changed.size() == 1);
+  CHECK(changed[0].mKey == "late page");
+  CHECK(replica.Position().mCompleteRevision == 30);
+  CHECK(replica.AsOf() == kStart + 2s);
+}
+
+// The same with the answer to a watch, or a peer's delta, that was sent before the newer
+// listing arrived.
+TEST_CASE("older changes do not bring back an item that was deleted since")
+{
+  Replica replica = ListedReplica();
+  replica.ApplyListing({ { Written("a", 3) }, 30 }, kStart + 2s);
+  CHECK(replica.ApplyChanges({ { Written("c", 15) }, 20 }, kStart + 1s).empty());
+  CHECK(replica.ApplyChanges({ { Written("c", 31) }, 31 }, kStart + 3s).size() == 1);
+}
+
 TEST_CASE("an item that is written again after its deletion is reported as changed")
 {
   Replica replica = ListedReplica();
