The bytes of an incomplete chunk line, trailers and interim answers are limited

What callers saw: reported by other operators, a server's endless bytes use up an instance's memory, and all its requests end with it (LOST). Cause: the HTTP parser limits heads and bodies, but asks for more bytes while the line of a chunk's size or the trailers have not ended. The buffer had no limit, for answers and for callers' requests alike. Interim answers were skipped without a count, and one with a number that the library does not name (103) was taken for the final answer. Evidence: new unit tests in which a server or a caller never ends such a line: the calls ran to their time limit and kept all bytes; the request was kept instead of refused. An answer after 103 was lost. Change: at most net::kMaxUnparsedBytes stay unparsed; the call then fails, and a caller gets 431. At most 16 interim answers, known by their number, are skipped; a status below 100 fails the call. Why it works: whatever a message consists of, what its parser has not taken is bounded. Heads, bodies and answers that end at any byte of their head were safe before; the tests stay as a guard against that report. The real process's memory was not measured.

--- a/src/entry/listener.cc
+++ b/src/entry/listener.cc
@@ -213,9 +213,11 @@
   if (mCore.Config()) {
     limits = mCore.Config()->mLimits;
   }
+  std::size_t headBytes =
+    limits.mHeadBytes > 0 ? limits.mHeadBytes : kDefaultMaxHeadBytes;
+  aSession.mBuffer.max_size(headBytes + net::kMaxUnparsedBytes);
   Parser parser;
-  parser.header_limit(static_cast<std::uint32_t>(
-    limits.mHeadBytes > 0 ? limits.mHeadBytes : kDefaultMaxHeadBytes));
+  parser.header_limit(static_cast<std::uint32_t>(headBytes));
   parser.body_limit(limits.mBodyBytes > 0 ? limits.mBodyBytes : kDefaultMaxBodyBytes);
   auto read = std::make_shared<PendingRead>(PendingRead{ &aSession.mStream, false });
   Duration limit = limits.mIdleTime > Duration::zero()
--- a/src/net/http.cc
+++ b/src/net/http.cc
@@ -21,6 +21,9 @@
 using Error = boost::system::error_code;
 
 constexpr std::size_t kReadBytes = 16UL * 1024;
+constexpr unsigned kMaxInterimResponses = 16; // before one final response
+constexpr unsigned kMinStatus = 100;          // lower ones are not HTTP
+constexpr unsigned kMinFinalStatus = 200;
 // A response that is still arriving at the call's time limit may complete within this
 // time, since a process that was delayed finds its bytes already in the socket buffer.
 constexpr std::chrono::milliseconds kCompletionGrace{ 250 };
@@ -97,6 +100,10 @@
   if (error != http::error::need_more) {
     ThrowOnError(error, Stage::Sent);
   }
+  if (!aParser.is_done() && mBuffer.size() > kMaxUnparsedBytes) {
+    Close();
+    throw CallError(Stage::Sent, false, "a chunk's head or the trailers are too large");
+  }
 }
 
 // The stream's timeout only ends a read that waits for bytes. It never expires while
@@ -126,14 +133,20 @@
 // Interim responses such as "100 Continue" are skipped.
 Awaitable<Response> Connection::ReadFinalResponse(ReadLimits aLimits)
 {
-  for (;;) {
+  for (unsigned skipped = 0; skipped <= kMaxInterimResponses; ++skipped) {
     Response response = co_await ReadResponse(aLimits);
-    if (http::to_status_class(response.result()) != http::status_class::informational) {
+    if (response.result_int() < kMinStatus) {
+      Close();
+      throw CallError(Stage::Sent, false, "the response has no valid status");
+    }
+    if (response.result_int() >= kMinFinalStatus) {
       ++mResponsesRead;
       mReusable = response.keep_alive();
       co_return response;
     }
   }
+  Close();
+  throw CallError(Stage::Sent, false, "too many interim responses");
 }
 
 Awaitable<Response> Connection::Call(const Request& aRequest,
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -27,6 +27,10 @@
 constexpr unsigned kHttp11 = 11;
 constexpr std::size_t kMaxResponseBodyBytes = 4UL * 1024 * 1024;
 
+// The parser limits the head and the body of a message, but not the line of a chunk's
+// size nor the trailers. It keeps back the bytes of an incomplete one, up to this many.
+constexpr std::size_t kMaxUnparsedBytes = 64UL * 1024;
+
 // The stage at which a call failed.
 enum class Stage : std::uint8_t
 {
--- a/tests/unit/entry_listener.cc
+++ b/tests/unit/entry_listener.cc
@@ -155,3 +155,25 @@
   CHECK(test::RunCoroutine(fixture.mContext, exchange()));
   CHECK(received.find("413") != std::string::npos);
 }
+
+// Guards against a process that runs out of memory (LOST): a caller's line of a chunk's
+// size, or its trailers, never end.
+TEST_CASE("a request with an endless chunk-size line or endless trailers is refused")
+{
+  for (const char* start : { "5;more=", "0\r\nX-More: " }) {
+    Fixture fixture;
+    Tcp::socket caller = fixture.Connect();
+    std::string request = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    request += start + std::string(4 * net::kMaxUnparsedBytes, 'x');
+    std::string received;
+    auto exchange = [&]() -> Awaitable<bool> {
+      co_await asio::async_write(caller, asio::buffer(request), asio::use_awaitable);
+      co_await asio::async_read_until(
+        caller, asio::dynamic_buffer(received), "\r\n\r\n", asio::use_awaitable);
+      co_return true;
+    };
+    asio::co_spawn(fixture.mContext, exchange(), asio::detached);
+    fixture.mContext.run_for(1s);
+    CHECK(received.starts_with("HTTP/1.1 431 "));
+  }
+}
--- a/tests/unit/net.cc
+++ b/tests/unit/net.cc
@@ -78,6 +78,30 @@
   CHECK_FALSE(TimesOutOnEndlessResponse("", std::string(10'000, 'x')));
 }
 
+// Guards against a process that runs out of memory (LOST): the parser sets no limit to
+// the line of a chunk's size or to the trailers, so their bytes were kept until the time
+// limit.
+TEST_CASE(
+  "an endless chunk-size line and endless trailers fail the call without a timeout")
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string bytes(10'000, 'x');
+  CHECK_FALSE(TimesOutOnEndlessResponse(head + "5;more=", bytes));
+  CHECK_FALSE(TimesOutOnEndlessResponse(head, bytes));
+  CHECK_FALSE(TimesOutOnEndlessResponse(head + "0\r\n", "X-More: " + bytes + "\r\n"));
+}
+
+TEST_CASE("an endless body without a length fails the call without a timeout")
+{
+  CHECK_FALSE(
+    TimesOutOnEndlessResponse("HTTP/1.1 200 OK\r\n\r\n", std::string(100'000, 'x')));
+}
+
+TEST_CASE("endless interim responses fail the call without a timeout")
+{
+  CHECK_FALSE(TimesOutOnEndlessResponse("", "HTTP/1.1 100 Continue\r\n\r\n"));
+}
+
 TEST_CASE("a complete response is returned")
 {
   boost::asio::io_context context;
@@ -122,6 +146,34 @@
   CHECK(response.body() == "ok");
 }
 
+// Guards against a status that the caller gets as 000 (MIXED): the library names neither
+// 103 nor 299.
+TEST_CASE("statuses without a name are kept, and interim ones are skipped")
+{
+  boost::asio::io_context context;
+  test::CannedServer server(
+    context,
+    "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 299 Fine\r\nContent-Length: 2\r\n\r\nok");
+  net::Response response =
+    test::RunCoroutine(context, net::CallOnce(server.Address(), Get(), 2000ms));
+  CHECK(response.result_int() == 299);
+  CHECK(response.body() == "ok");
+}
+
+// Guards against a 200 with an empty or short body (MIXED): a server stops at any byte of
+// its response and closes the connection.
+TEST_CASE("a response that ends at any byte before its last one fails")
+{
+  const std::string whole =
+    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-More: y\r\n\r\nhello";
+  for (std::size_t size = 1; size < whole.size(); ++size) {
+    boost::asio::io_context context;
+    test::ScriptedServer server(
+      context, { whole.substr(0, size) }, test::ServerClose::Finish);
+    CHECK(FailedStageOf(context, server.Address()) == net::Stage::Sent);
+  }
+}
+
 // Guards against half an answer that reaches the caller as a complete one.
 TEST_CASE("a response that breaks off fails, whatever tells its length")
 {
