A server's status reaches the caller as the number it is

Cause: the formats converted the number to the HTTP library's enumeration, which turns each number without a name into 0. Why it works: the number is never converted.

--- a/src/entry/format.cc
+++ b/src/entry/format.cc
@@ -22,7 +22,7 @@
                           { "name", row.mName },
                           { "ran", base::Name(row.mExecuted) },
                           { "meaning", row.mMeaning } };
-  net::Response response(http::int_to_status(row.mStatus), net::kHttp11);
+  net::Response response = net::ResponseWithStatus(row.mStatus);
   response.set(http::field::content_type, "application/json");
   if (aResult == Result::RateExceeded) {
     response.set(http::field::retry_after, "1");
@@ -62,7 +62,7 @@
   if (aOutcome.mResult != Result::Ok) {
     return ErrorResponse(aOutcome.mResult);
   }
-  net::Response response(http::int_to_status(aOutcome.mStatus), net::kHttp11);
+  net::Response response = net::ResponseWithStatus(aOutcome.mStatus);
   if (!aOutcome.mContentType.empty()) {
     response.set(http::field::content_type, aOutcome.mContentType);
   }
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -25,6 +25,16 @@
 using Awaitable = boost::asio::awaitable<T>;
 
 constexpr unsigned kHttp11 = 11;
+
+// A response with any status of three digits, also one that Beast has no name for.
+inline Response ResponseWithStatus(unsigned aStatus)
+{
+  Response response;
+  response.version(kHttp11);
+  response.result(aStatus);
+  return response;
+}
+
 constexpr std::size_t kMaxResponseBodyBytes = 4UL * 1024 * 1024;
 
 // The parser limits the head and the body of a message, but not the line of a chunk's
--- a/tests/unit/platform.cc
+++ b/tests/unit/platform.cc
@@ -329,6 +329,21 @@
     format.FromServer(ServerResponse(http::status::misdirected_request)).mWrongServer);
 }
 
+// Guards against a status that the caller gets as 000 beside the server's signature
+// (MIXED): the library has no name for most numbers.
+TEST_CASE("each status of a server reaches the caller unchanged")
+{
+  platform::PlatformFormat format;
+  entry::NativeFormat nativeFormat;
+  for (unsigned status = 200; status < 1000; ++status) {
+    net::Response response = ServerResponse(http::status::ok);
+    response.result(status);
+    decide::Outcome outcome = format.FromServer(response).mOutcome;
+    CHECK(format.ToCaller(outcome).result_int() == status);
+    CHECK(nativeFormat.ToCaller(outcome).result_int() == status);
+  }
+}
+
 TEST_CASE("refusals contain Retry-After, a lost answer has status 502")
 {
   platform::PlatformFormat format;
