A stopping instance takes only requests that can end before it does

What callers saw: reported by other operators, requests that came late in the grace of a planned stop were passed on and cut at its end, some of which may not be repeated (LOST). Cause: a stopping instance took requests for half of its stop time and gave each its route's whole time limit, which may lie beyond the end of the stop. Evidence: new unit tests: with 1 s left an instance sent on a request with a latency target of 0.8 s, and the deadline that a server was told lay beyond the end. Both failed before. Change: 503 at once if less than twice the route's latency target is left; otherwise the deadline ends 0.2 s before the stop, so that the server ends the request. Why it works: no request is passed on that its server may still run when the process ends. Result: unit tests pass.

--- a/src/daemon/loops.cc
+++ b/src/daemon/loops.cc
@@ -371,6 +371,7 @@
   mLookUps.Rebuild();
   SendHeartbeats();
   Instant stopDeadline = mCore.Now() + mCore.mSettings.mStopTimeout;
+  mCore.mStopDeadline = stopDeadline;
   Instant acceptDeadline = AcceptDeadline();
   while (mCore.Now() < acceptDeadline ||
          (mCore.mLedger.HasUnexpired(mCore.Now()) && mCore.Now() < stopDeadline)) {
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -186,6 +186,9 @@
   Metrics mMetrics;
   bool mLeaving = false; // left out of look-up responses, still serving
   bool mStopped = false; // accepts no new requests
+  // End of a planned stop: requests without a response are cut off then. Empty before
+  // one.
+  std::optional<Instant> mStopDeadline;
   // Replicas of the sections of the store that this instance follows, read from the store
   // or from peers.
   std::array<store::Replica, store::kStoreSectionCount> mReplicas;
--- a/src/entry/pipeline.cc
+++ b/src/entry/pipeline.cc
@@ -15,6 +15,11 @@
 
 constexpr std::size_t kMaxForwards = 3; // instances tried in one delivery
 constexpr std::uint64_t kBytesPerKilobyte = 1000;
+// At the end of a planned stop, time for a last response to reach its caller.
+constexpr Duration kStopAnswerTime = std::chrono::milliseconds(200);
+// Time that a request may need, in latency targets of its route. A server that is cold or
+// busy takes longer than one target.
+constexpr int kStopLatencyTargets = 2;
 
 // Counts a request as in flight, so that a planned stop can wait for its end.
 class InFlightGuard
@@ -145,11 +150,28 @@
   Duration timeout = aExchange.MatchedRoute().mTimeout;
   timeout = timeout > Duration::zero() ? timeout : profile.mDeadline;
   aExchange.mDeadline = aExchange.mArrival + std::min(timeout, aExchange.mCallerTimeout);
+  LimitToStop(aExchange);
   mCore.mRetryBudget.Earn(
     aExchange.ServiceName(), profile.mRetryPercent, mCore.RetryBudgetCap());
   co_return;
 }
 
+// During a planned stop, refuses a request that is not expected to get its response in
+// the time left, and limits the deadline of the others, so that the server ends them
+// itself. A request that is cut off at the end of the stop would have an unknown outcome.
+void Pipeline::LimitToStop(Exchange& aExchange) const
+{
+  if (!mCore.mStopDeadline) {
+    return;
+  }
+  Instant end = *mCore.mStopDeadline - kStopAnswerTime;
+  Duration expected = kStopLatencyTargets * aExchange.MatchedRoute().mLatencyTarget;
+  if (mCore.Now() + expected > end) {
+    throw RequestError(Result::NotReady);
+  }
+  aExchange.mDeadline = std::min(aExchange.mDeadline, end);
+}
+
 Awaitable<void> Pipeline::LimitFilter(Exchange& aExchange)
 {
   if (aExchange.mOrganisation.IsNone()) {
--- a/src/entry/pipeline.h
+++ b/src/entry/pipeline.h
@@ -76,6 +76,7 @@
                                         bool aOrder);
   Awaitable<bool> DebitRegionBudgets(const Exchange& aExchange,
                                      const std::string& aAddress);
+  void LimitToStop(Exchange& aExchange) const;
   void RefundToken(const Exchange& aExchange);
   void SetRefusal(const Exchange& aExchange, Result aCode, decide::Outcome& aOutcome);
   void RecordOutcome(const Exchange& aExchange, const decide::Outcome& aOutcome);
--- a/tests/unit/entry.cc
+++ b/tests/unit/entry.cc
@@ -523,6 +523,41 @@
   CHECK(replica.Position().mCompleteRevision == 10);
 }
 
+// Guards against requests that a planned stop cuts off (LOST): they came late, were sent
+// to a server, and its response did not arrive before the end of the process.
+TEST_CASE("a stopping instance refuses requests that its time left does not suffice for")
+{
+  Fixture fixture;
+  auto config =
+    std::make_shared<decide::Config>(*decide::ParseConfig(ConfigText(2, "strict key")));
+  for (decide::Route& route : config->mRoutes) {
+    route.mLatencyTarget = 800ms;
+  }
+  fixture.mCore.AcceptConfig(config);
+  fixture.mCore.mLeaving = true;
+  fixture.mCore.mStopDeadline = fixture.mClock.Now() + 3s;
+  CHECK(fixture.ResultOf("GET", "/open", "") == Result::NoBackendServer);
+  fixture.mClock.Advance(2s);
+  CHECK(fixture.ResultOf("GET", "/open", "") == Result::NotReady);
+}
+
+TEST_CASE("a request of a stopping instance ends before the process does")
+{
+  Fixture fixture;
+  DirectPlacement direct(fixture.mCore, fixture.mBackend);
+  Pipeline pipeline(fixture.mCore, fixture.mAdmission, fixture.mBackend, &direct);
+  test::CannedServer server(fixture.mContext, kOkResponse);
+  fixture.AddServer("i-1", "s", server.Address(), 4);
+  fixture.mCore.mLeaving = true;
+  fixture.mCore.mStopDeadline = fixture.mClock.Now() + 600ms;
+  Exchange exchange;
+  exchange.mMethod = "GET";
+  exchange.mTarget = "/open";
+  exchange.mArrival = fixture.mClock.Now();
+  test::RunCoroutine(fixture.mContext, pipeline.Serve(std::move(exchange)));
+  CHECK(server.Received().find("X-Deadline-Ms: 400\r\n") != std::string::npos);
+}
+
 TEST_CASE("a leaving instance issues no tickets")
 {
   Fixture fixture;
