A send that fails unexpectedly gives its slot back

Cause: the HTTP library refuses to encode such a request with an exception of another type than the one that DirectPlacement::SendTo expects. Evidence: the new unit test found one request in flight after the exception. Why it works: each way out of SendTo now records the end of the send.

--- a/src/entry/direct.cc
+++ b/src/entry/direct.cc
@@ -182,6 +182,9 @@
       aExchange, target, ConnectionReuse::Allowed, !IsIdempotent(aExchange));
   } catch (const RequestError& error) {
     failure = error;
+  } catch (...) {
+    EndSend(aServer, SendResult::Cancelled);
+    throw;
   }
   LogSend(aExchange, *aServer, sent, answer);
   if (failure) {
--- a/tests/unit/entry.cc
+++ b/tests/unit/entry.cc
@@ -558,6 +558,21 @@
   CHECK(server.Received().find("X-Deadline-Ms: 400\r\n") != std::string::npos);
 }
 
+// Guards against a server that gets no more requests: its slot stayed taken after an
+// unexpected error, as HTTP does not allow a body in a TRACE request.
+TEST_CASE("a request that cannot be encoded gives its slot back")
+{
+  Fixture fixture;
+  DirectPlacement direct(fixture.mCore, fixture.mBackend);
+  test::CannedServer server(fixture.mContext, kOkResponse);
+  fixture.AddServer("i-1", "s", server.Address(), 4);
+  Exchange exchange = fixture.ResolvedLookup("/open");
+  exchange.mMethod = "TRACE";
+  exchange.mBody = "body";
+  CHECK_THROWS(test::RunCoroutine(fixture.mContext, direct.Place(exchange)));
+  CHECK(fixture.mCore.mFleet.Servers().at("i-1")->mInFlight == 0);
+}
+
 TEST_CASE("a leaving instance issues no tickets")
 {
   Fixture fixture;
