An unknown home region binds no demand

Cause: the index of "none" was used to write into a table of regions. Evidence: the new unit test under the address sanitizer: SEGV in EstimateBoundDemand before, passes after. Without the sanitizer it passes either way, as the memory there is mapped. Change: unknown homes are skipped. Steering::InstancesOf used the own data centre's index likewise and returns nothing for none; its test passed before too. Why it works: "none" no longer reaches either table. Result: unit tests pass.

--- a/src/decide/bound.cc
+++ b/src/decide/bound.cc
@@ -49,7 +49,9 @@
       organisation.mBudget.IsNone() ? defaultLimit : LimitOf(aConfig, organisation);
     total += limit;
     for (RegionId home : organisation.mHomes) {
-      bound.mByRegion[home.Value()] += limit / double(organisation.mHomes.size());
+      if (!home.IsNone()) { // a home may be in a region that is not known here
+        bound.mByRegion[home.Value()] += limit / double(organisation.mHomes.size());
+      }
     }
   }
   for (double& fraction : bound.mByRegion) {
--- a/src/decide/steer.cc
+++ b/src/decide/steer.cc
@@ -216,6 +216,9 @@
     unsigned mFree;
     std::string mAddress;
   };
+  if (aDataCentre.IsNone()) {
+    return {};
+  }
   const std::string& service = mConfig->mServices[aService.Value()].mName;
   const std::string& dataCentre = mConfig->mDataCentres[aDataCentre.Value()].mName;
   std::vector<FreeInstance> instances;
--- a/src/decide/steer.h
+++ b/src/decide/steer.h
@@ -119,7 +119,7 @@
   // moves it.
   std::optional<DataCentreId> DrawShift(ServiceId aService);
   // Addresses of a data centre's alive instances with free slots for the service, those
-  // with the most free slots first.
+  // with the most free slots first. Empty if the data centre is not configured.
   std::vector<std::string> InstancesOf(DataCentreId aDataCentre,
                                        ServiceId aService,
                                        const Members& aMembers,
--- a/tests/unit/decide_rank.cc
+++ b/tests/unit/decide_rank.cc
@@ -183,3 +183,15 @@
     CHECK((before == after || before == 0));
   }
 }
+
+// Guards against processes that end (LOST): the index of a home region that the settings
+// did not list at the start is none.
+TEST_CASE("an unknown home region binds no demand")
+{
+  Config config = *vanillaloft::test::TwoRegions();
+  config.mOrganisations.push_back(
+    { "a", BudgetId(), IsolatedKeys::Accept, {}, { RegionId(0), RegionId() } });
+  BoundDemand bound = EstimateBoundDemand(config);
+  CHECK(bound.Of(RegionId(0)) == doctest::Approx(0.5));
+  CHECK(bound.Of(RegionId()) == 0);
+}
--- a/tests/unit/entry.cc
+++ b/tests/unit/entry.cc
@@ -558,6 +558,18 @@
   CHECK(server.Received().find("X-Deadline-Ms: 400\r\n") != std::string::npos);
 }
 
+// Guards against a process that ends (LOST): the index of the instance's own data centre
+// is none if the configuration does not list it.
+TEST_CASE("an instance whose data centre is not configured refuses requests")
+{
+  Fixture fixture;
+  auto config =
+    std::make_shared<decide::Config>(*decide::ParseConfig(ConfigText(2, "strict key")));
+  config->mDataCentres[0].mName = "another";
+  fixture.mCore.AcceptConfig(config);
+  CHECK(fixture.ResultOf("GET", "/open", "") == Result::NoBackendServer);
+}
+
 // Guards against a server that gets no more requests: its slot stayed taken after an
 // unexpected error, as HTTP does not allow a body in a TRACE request.
 TEST_CASE("a request that cannot be encoded gives its slot back")
