--- a/tests/unit/entry.cc
+++ b/tests/unit/entry.cc
@@ -92,10 +92,10 @@
     mClock.Advance(2s);
   }
 
-  void AddServer(const std::string& aId,
-                 const std::string& aService,
-                 const base::HostPort& aAddress,
-                 unsigned aSlots)
+  decide::Registration AddServer(const std::string& aId,
+                                 const std::string& aService,
+                                 const base::HostPort& aAddress,
+                                 unsigned aSlots)
   {
     decide::Registration registration;
     registration.mId = aId;
@@ -104,6 +104,7 @@
     registration.mAddress = aAddress;
     registration.mSlots = aSlots;
     mCore.mFleet.Register(registration, mClock.Now());
+    return registration;
   }
 
   Exchange ResolvedLookup(const std::string& aTarget, const std::string& aKey = "")
@@ -377,22 +378,9 @@
 {
   Fixture fixture;
   DirectPlacement direct(fixture.mCore, fixture.mBackend);
-  test::CannedServer server(fixture.mContext,
-                            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
-  decide::Registration registration;
-  registration.mId = "i-1";
-  registration.mService = "s";
-  registration.mDataCentre = "d1";
-  registration.mAddress = server.Address();
-  registration.mSlots = 4;
-  fixture.mCore.mFleet.Register(registration, fixture.mClock.Now());
-  Exchange exchange;
-  exchange.mMethod = "GET";
-  exchange.mTarget = "/open";
-  exchange.mRequestId = "1";
-  exchange.mArrival = fixture.mClock.Now();
-  exchange.mDeadline = exchange.mArrival + 5s;
-  Resolver(fixture.mCore).Resolve(exchange);
+  test::CannedServer server(fixture.mContext, kOkResponse);
+  decide::Registration registration = fixture.AddServer("i-1", "s", server.Address(), 4);
+  Exchange exchange = fixture.ResolvedLookup("/open");
   boost::asio::post(fixture.mContext, [&] {
     registration.mDraining = true;
     boost::asio::post(fixture.mContext, [&] {
@@ -473,8 +461,7 @@
   "a request that waits for a slot is resolved again after a configuration change")
 {
   Fixture fixture;
-  std::string open = WithBackendServer(2);
-  fixture.mCore.AcceptConfig(decide::ParseConfig(open));
+  fixture.mCore.AcceptConfig(decide::ParseConfig(WithBackendServer(2)));
   decide::Steering& steer = fixture.mCore.mSteer;
   const decide::Members& members = fixture.mCore.mMembers;
   steer.UpdateOwnership(members, false, fixture.mClock.Now());
