Bytes of one request no longer run as another one

Beast's parser takes a request with an unknown transfer coding for one without a body, so that what follows its head ran as a request of its own. It also accepts folded fields, a coding list and Transfer-Encoding in HTTP/1.0. net::HeadScanner now reads each head before the parser does and refuses what can be divided in two ways: 501 for an unknown coding (new result 107), 400 for a length beside a coding, lengths that differ or have a sign, folds, bare CR or LF, white space before a colon. The connection ends after it.

--- a/src/base/result.h
+++ b/src/base/result.h
@@ -27,6 +27,7 @@
   BodyIncomplete = 104,
   RequestTimeout = 105,
   ConflictingLength = 106,
+  UnknownTransferCoding = 107,
   KeyMissing = 201,
   KeyUnknown = 202,
   KeysUnconfirmed = 203,
--- a/src/entry/listener.cc
+++ b/src/entry/listener.cc
@@ -28,6 +28,7 @@
 // Longest time for a caller to read the last response and to close the connection.
 constexpr std::chrono::milliseconds kLingerTime{ 500 };
 constexpr std::size_t kLingerReadBytes = 4096;
+constexpr std::size_t kHeadReadBytes = 4096;
 // An idle connection is closed this much later than the configured idle time, which
 // callers are told, so that no request is in flight when the connection closes.
 constexpr Duration kIdleCloseMargin = std::chrono::seconds(2);
@@ -77,6 +78,24 @@
            : Result::Ok;
 }
 
+// Maps a fault of a head to a result code.
+Result FaultResult(net::FramingFault aFault)
+{
+  switch (aFault) {
+    case net::FramingFault::Length:
+      return Result::ConflictingLength;
+    case net::FramingFault::UnknownCoding:
+      return Result::UnknownTransferCoding;
+    default:
+      return Result::MalformedRequest;
+  }
+}
+
+std::string_view BytesOf(const beast::flat_buffer& aBuffer)
+{
+  return { static_cast<const char*>(aBuffer.data().data()), aBuffer.size() };
+}
+
 } // namespace
 
 namespace {
@@ -228,18 +247,21 @@
     [read](const Error& aCancelled) { CancelOnTimeout(*read, aCancelled); });
   aSession.mStream.expires_never();
   aSession.mParser = &parser;
-  Error error;
-  co_await http::async_read(aSession.mStream,
-                            aSession.mBuffer,
-                            parser,
-                            asio::redirect_error(asio::use_awaitable, error));
+  net::HeadScanner head;
+  Error error = co_await ReadHead(aSession, headBytes, head);
+  bool started = aSession.mBuffer.size() > 0;
+  if (!error && head.Fault() == net::FramingFault::None) {
+    error = co_await ReadMessage(aSession, parser);
+  }
   aSession.mParser = nullptr;
   read->mStream = nullptr;
   timer.cancel();
   ReadOutcome outcome;
-  if (error) {
+  if (head.Fault() != net::FramingFault::None) {
+    outcome.mFailure = FaultResult(head.Fault());
+  } else if (error) {
     Error cause = read->mTimedOut ? Error(beast::error::timeout) : error;
-    outcome.mFailure = ReadErrorResult(cause, parser.got_some());
+    outcome.mFailure = ReadErrorResult(cause, started);
     outcome.mClosed = outcome.mFailure == Result::Ok;
   } else {
     outcome.mRequest = parser.release();
@@ -247,6 +269,48 @@
   co_return outcome;
 }
 
+// Reads until the head is complete or has a fault. Returns the error that ended the read.
+Awaitable<Error> Listener::ReadHead(Session& aSession,
+                                    std::size_t aMaxBytes,
+                                    net::HeadScanner& aScanner)
+{
+  Error error;
+  while (!aScanner.Scan(BytesOf(aSession.mBuffer))) {
+    if (aSession.mBuffer.size() > aMaxBytes) {
+      co_return http::error::header_limit;
+    }
+    std::size_t size = co_await aSession.mStream.async_read_some(
+      aSession.mBuffer.prepare(kHeadReadBytes),
+      asio::redirect_error(asio::use_awaitable, error));
+    if (error == asio::error::eof) {
+      co_return aSession.mBuffer.size() > 0 ? http::error::partial_message
+                                            : http::error::end_of_stream;
+    }
+    if (error) {
+      co_return error;
+    }
+    aSession.mBuffer.commit(size);
+  }
+  co_return error;
+}
+
+// Reads a request whose head is in the buffer.
+Awaitable<Error> Listener::ReadMessage(Session& aSession, Parser& aParser)
+{
+  auto checkChunk = [](std::uint64_t, beast::string_view aExtensions, Error& aError) {
+    if (!net::IsValidChunkExtension(ToStringView(aExtensions))) {
+      aError = http::error::bad_chunk_extension;
+    }
+  };
+  aParser.on_chunk_header(checkChunk);
+  Error error;
+  co_await http::async_read(aSession.mStream,
+                            aSession.mBuffer,
+                            aParser,
+                            asio::redirect_error(asio::use_awaitable, error));
+  co_return error;
+}
+
 Awaitable<net::Response> Listener::HandleRequest(Session& aSession, net::Request aRequest)
 {
   Error error;
--- a/src/entry/listener.h
+++ b/src/entry/listener.h
@@ -11,6 +11,7 @@
 
 #include "entry/core.h"
 #include "entry/format.h"
+#include "net/framing.h"
 
 namespace vanillaloft::entry {
 
@@ -83,6 +84,11 @@
   Awaitable<void> ServeConnection(std::list<Session>::iterator aSession);
   Awaitable<void> ServeRequests(Session& aSession);
   Awaitable<ReadOutcome> ReadRequest(Session& aSession);
+  static Awaitable<boost::system::error_code> ReadHead(Session& aSession,
+                                                       std::size_t aMaxBytes,
+                                                       net::HeadScanner& aScanner);
+  static Awaitable<boost::system::error_code> ReadMessage(Session& aSession,
+                                                          Parser& aParser);
   Awaitable<net::Response> HandleRequest(Session& aSession, net::Request aRequest);
   static Awaitable<void> Linger(Stream& aStream);
   bool IsBusy(Session& aSession) const;
