Trailers of a request do not become fields of its head

Beast adds the fields of a trailer to the header, so a caller could send a key or a deadline after the body, and servers saw it as part of the head. They are dropped now (RFC 9110, 6.5.1).

Before: the test saw an Authorization field of the trailer in the request. Now: unit-entry passes.

--- a/src/entry/listener.cc
+++ b/src/entry/listener.cc
@@ -294,7 +294,8 @@
   co_return error;
 }
 
-// Reads a request whose head is in the buffer.
+// Reads a request whose head is in the buffer. Drops the trailers, which Beast would add
+// to the header: a caller could replace fields there that were checked before.
 Awaitable<Error> Listener::ReadMessage(Session& aSession, Parser& aParser)
 {
   auto checkChunk = [](std::uint64_t, beast::string_view aExtensions, Error& aError) {
@@ -304,10 +305,19 @@
   };
   aParser.on_chunk_header(checkChunk);
   Error error;
+  co_await http::async_read_header(aSession.mStream,
+                                   aSession.mBuffer,
+                                   aParser,
+                                   asio::redirect_error(asio::use_awaitable, error));
+  if (error) {
+    co_return error;
+  }
+  http::request_header<> header = aParser.get().base();
   co_await http::async_read(aSession.mStream,
                             aSession.mBuffer,
                             aParser,
                             asio::redirect_error(asio::use_awaitable, error));
+  aParser.get().base() = std::move(header);
   co_return error;
 }
 
--- a/tests/unit/entry_framing.cc
+++ b/tests/unit/entry_framing.cc
@@ -21,6 +21,7 @@
 struct Received
 {
   std::vector<std::string> mServed; // body of each request that was passed on
+  std::vector<bool> mAuthorised;    // whether each of them has an Authorization field
   unsigned mLastStatus = 0;         // of the last response; 0: none
 };
 
@@ -52,6 +53,8 @@
     { "127.0.0.1", at.port() },
     [&](net::Request aRequest, CallerConnection&) -> Awaitable<net::Response> {
       received.mServed.push_back(aRequest.body());
+      received.mAuthorised.push_back(
+        aRequest.count(boost::beast::http::field::authorization) > 0);
       co_return net::ResponseWithStatus(200);
     });
   std::string responses;
@@ -188,3 +191,10 @@
     CHECK(received.mServed.size() == row.mServed);
   }
 }
+
+// Guards against fields that a server trusts but that were not part of the head.
+TEST_CASE("fields of a trailer do not become fields of the request")
+{
+  Received received = Send(Chunked("0\r\nAuthorization: Token k1\r\n\r\n"));
+  CHECK(received.mAuthorised == std::vector<bool>{ false, false });
+}
