An answer whose length can be understood in two ways is no whole answer

An answer with an unknown transfer coding was read up to the end of the connection and counted as whole, one with a folded field too. The client reads the head with the same HeadScanner as the listener and fails the call at Stage::Sent.

Before: 2 of the 9 heads of the new test were taken for whole answers. Now: unit-net passes.

--- a/src/net/http.cc
+++ b/src/net/http.cc
@@ -92,9 +92,22 @@
   ParseBuffer(aParser);
 }
 
+// A head that can be understood in two ways tells no length. Throws CallError.
+void Connection::CheckHead(HeadScanner& aHead)
+{
+  aHead.Scan({ static_cast<const char*>(mBuffer.data().data()), mBuffer.size() });
+  if (aHead.Fault() != FramingFault::None) {
+    Close();
+    throw CallError(Stage::Sent, false, "the head of the response is malformed");
+  }
+}
+
 // Parses the received bytes. Bytes behind the end of the response stay in the buffer.
 void Connection::ParseBuffer(Parser& aParser)
 {
+  if (!aParser.is_header_done()) {
+    CheckHead(aParser.mHead);
+  }
   Error error;
   mBuffer.consume(aParser.put(mBuffer.data(), error));
   if (error != http::error::need_more) {
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -15,6 +15,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include "base/settings.h"
+#include "net/framing.h"
 
 namespace vanillaloft::net {
 
@@ -103,7 +104,12 @@
   void Close() { mStream.close(); }
 
 private:
-  using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+  using StringParser =
+    boost::beast::http::response_parser<boost::beast::http::string_body>;
+  struct Parser : StringParser
+  {
+    HeadScanner mHead;
+  };
   // Time limits of the response that is being read.
   struct ReadLimits
   {
@@ -113,6 +119,7 @@
   };
 
   Awaitable<void> ReadSome(Parser& aParser);
+  void CheckHead(HeadScanner& aHead);
   void ParseBuffer(Parser& aParser);
   Awaitable<Response> ReadResponse(ReadLimits aLimits);
   Awaitable<Response> ReadFinalResponse(ReadLimits aLimits);
--- a/tests/unit/net.cc
+++ b/tests/unit/net.cc
@@ -203,3 +203,25 @@
   test::ScriptedServer broken(context, { unframed }, test::ServerClose::Reset);
   CHECK(FailedStageOf(context, broken.Address()) == net::Stage::Sent);
 }
+
+// Guards against an answer that ends where the server did not end it.
+TEST_CASE("a response whose length can be understood in two ways fails")
+{
+  for (const char* fields : {
+         "Transfer-Encoding: xchunked\r\n",
+         "Transfer-Encoding: gzip, chunked\r\n",
+         "Content-Length: 2\r\nContent-Length: 0\r\n",
+         "Content-Length: 2, 0\r\n",
+         "Content-Length: +2\r\n",
+         "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n",
+         "Content-Length : 2\r\n",
+         "X-Fold: a\r\n b\r\nContent-Length: 2\r\n",
+         "X-Line: a\nContent-Length: 2\r\n",
+       }) {
+    CAPTURE(fields);
+    boost::asio::io_context context;
+    test::CannedServer server(context,
+                              std::string("HTTP/1.1 200 OK\r\n") + fields + "\r\nok");
+    CHECK(FailedStageOf(context, server.Address()) == net::Stage::Sent);
+  }
+}
