A server that says in an answer that it leaves gets nothing new

The header Server-Leaving: 1 of any answer was forwarded to the caller and otherwise ignored, so a server whose registration still said ready got requests until the store told otherwise (DRAIN). The server then counts as leaving, as for draining: its objects move, a request chosen before and still connecting is not sent, waiting requests choose again at once, idle connections close. With a 421 the word is that of the server which now has the address, so all servers registered there count as leaving.

New: event 5005, counter vanillaloft_server_leaving_total, the fault "leaving" of the stand-in.

--- a/src/base/event.h
+++ b/src/base/event.h
@@ -40,6 +40,7 @@
   ConnectionClosed = 5002,
   DataCentreEvacuated = 5003,
   AnswerSkipped = 5004,
+  BackendServerLeaving = 5005,
   RunbookStep = 6001,
   RunbookWaits = 6002,
   RunbookEnded = 6003,
--- a/src/decide/fleet.cc
+++ b/src/decide/fleet.cc
@@ -121,6 +121,7 @@
     }
     server = std::make_shared<Server>();
     server->mKey = HashOf(aRegistration.mId);
+    server->mNotice = mNotices.Of(aRegistration.Boot());
   }
   server->mRegistration = aRegistration;
   server->mLapsed = false;
@@ -152,7 +153,7 @@
 
 bool Fleet::IsLeaving(const Server& aServer) const
 {
-  return aServer.mGone || aServer.mRegistration.mDraining ||
+  return aServer.mGone || aServer.mNotice.mLeaving || aServer.mRegistration.mDraining ||
          IsEvacuated(aServer.mRegistration.mDataCentre);
 }
 
@@ -347,6 +348,23 @@
   return { selected->mServer, NoServerReason::NoCandidate };
 }
 
+void Fleet::RecordLeaving(const ServerPtr& aServer)
+{
+  mNotices.RecordLeaving(aServer->mRegistration.Boot());
+  aServer->mNotice.mLeaving = true;
+  ForgetRankings();
+}
+
+void Fleet::RecordLeavingAt(const base::HostPort& aAddress)
+{
+  for (const auto& [id, server] : mServers) {
+    const base::HostPort& address = server->mRegistration.mAddress;
+    if (address.mHost == aAddress.mHost && address.mPort == aAddress.mPort) {
+      RecordLeaving(server);
+    }
+  }
+}
+
 std::vector<CandidateState> Fleet::DescribeCandidates(const PlacementQuery& aQuery,
                                                       Instant aNow)
 {
--- a/src/decide/fleet.h
+++ b/src/decide/fleet.h
@@ -15,6 +15,7 @@
 #include "base/settings.h"
 #include "decide/config.h"
 #include "decide/member.h"
+#include "decide/notice.h"
 #include "decide/ramp.h"
 #include "decide/rank.h"
 
@@ -37,6 +38,7 @@
   {
     return mId == aOther.mId && mIncarnation == aOther.mIncarnation;
   }
+  ServerBoot Boot() const { return { mId, mIncarnation }; }
 };
 
 // A backend server's own count of its requests, sent with a response.
@@ -80,8 +82,9 @@
   Bucket mWarmUpBucket;
   // Time of this instance's last request for an object, by the object's hash.
   std::unordered_map<std::uint64_t, Instant> mLastSentByObject;
-  bool mGone = false;   // deregistered, restarted or no longer at its address
-  bool mLapsed = false; // registration expired during a store outage; may return
+  ServerNotices::Notice mNotice; // what the server said of itself
+  bool mGone = false;            // deregistered, restarted or no longer at its address
+  bool mLapsed = false;          // registration expired during a store outage; may return
 
   const std::string& Id() const { return mRegistration.mId; }
 };
@@ -170,6 +173,14 @@
                   Duration aResponseTime,
                   Instant aNow);
 
+  // Records that a server said that it is leaving. It gets nothing new, whatever later
+  // copies of its registration say, until it is started again.
+  void RecordLeaving(const ServerPtr& aServer);
+  // The same for all servers registered at an address.
+  void RecordLeavingAt(const base::HostPort& aAddress);
+  // True if a request may be sent to a server that was chosen for it before.
+  bool MaySend(const Server& aServer) const { return !IsLeaving(aServer); }
+
   const std::map<std::string, ServerPtr>& Servers() const { return mServers; }
 
 private:
@@ -222,6 +233,7 @@
   DataCentreId mOwn;
   std::map<std::string, ServerPtr> mServers; // by registered name
   std::set<std::string> mEvacuated;          // names of data centres
+  ServerNotices mNotices;
   ShiftLimiter mShiftLimiter;
   // Rankings for the current servers. They are kept, because ranking takes time in
   // proportion to the number of servers and a request may ask several times.
--- a/src/entry/backend.h
+++ b/src/entry/backend.h
@@ -59,6 +59,9 @@
                                   bool aOrder,
                                   decide::AttemptOutcome& aAttemptOutcome);
 
+  // Closes the idle connections to a server.
+  void CloseIdle(const std::string& aServer) { mIdle.erase(aServer); }
+
   // Requests /load from a server and returns its state: Draining or Serving as reported,
   // Down if the call fails.
   Awaitable<decide::ServerState> Probe(base::HostPort aServer);
--- a/src/entry/core.cc
+++ b/src/entry/core.cc
@@ -13,13 +13,13 @@
   0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2
 };
 
-struct GaugeRow
+struct MetricRow
 {
   const char* mName;
   const char* mHelp;
 };
 
-constexpr GaugeRow kGauges[] = {
+constexpr MetricRow kGauges[] = {
   { "vanillaloft_revision", "Revision of the configuration in force." },
   { "vanillaloft_peers_alive", "Peers that answer heartbeats." },
   { "vanillaloft_store_available", "1 while the platform's store answers." },
@@ -31,6 +31,12 @@
     "Age of what is known of the backend servers' registrations; -1 if nothing is." },
 };
 
+// Counters by ServerNotice.
+constexpr MetricRow kNoticeCounters[] = {
+  { "vanillaloft_server_leaving_total",
+    "Boots of backend servers that said they leave." },
+};
+
 } // namespace
 
 Metrics::Metrics()
@@ -44,11 +50,17 @@
                .Help("Time from arrival to answer by service.")
                .Register(*mRegistry))
 {
-  for (const GaugeRow& row : kGauges) {
+  for (const MetricRow& row : kGauges) {
     auto& family =
       prometheus::BuildGauge().Name(row.mName).Help(row.mHelp).Register(*mRegistry);
     mGauges[row.mName] = &family.Add({});
   }
+  for (std::size_t i = 0; i < mNotices.size(); ++i) {
+    const MetricRow& row = kNoticeCounters[i];
+    auto& family =
+      prometheus::BuildCounter().Name(row.mName).Help(row.mHelp).Register(*mRegistry);
+    mNotices[i] = &family.Add({});
+  }
 }
 
 void Metrics::CountRequest(const std::string& aService, Result aResult, Duration aLatency)
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -95,6 +95,12 @@
   unsigned mWeight = 1; // capacity for callers relative to other instances
 };
 
+// What a backend server said of itself in a response.
+enum class ServerNotice : std::uint8_t
+{
+  Leaving
+};
+
 // Prometheus metrics of one instance.
 class Metrics
 {
@@ -102,6 +108,7 @@
   Metrics();
   // Counts a request by service and result and observes its latency.
   void CountRequest(const std::string& aService, Result aResult, Duration aLatency);
+  void CountNotice(ServerNotice aNotice) { mNotices[std::size_t(aNotice)]->Increment(); }
   prometheus::Gauge& Gauge(const std::string& aName) { return *mGauges.at(aName); }
   std::string Text() const;
 
@@ -110,6 +117,7 @@
   prometheus::Family<prometheus::Counter>& mRequests;
   prometheus::Family<prometheus::Histogram>& mLatency;
   std::map<std::string, prometheus::Gauge*> mGauges;
+  std::array<prometheus::Counter*, 1> mNotices{}; // by ServerNotice
 };
 
 class Core
--- a/src/entry/direct.cc
+++ b/src/entry/direct.cc
@@ -127,11 +127,15 @@
   mWaiters[service].erase(waiter);
 }
 
-// Records the end of a send and wakes all requests that wait for the service, the most
+// Records the end of a send, after which a leaving server needs no connections, and wakes
+// all requests that wait for the service, the most
 // urgent first.
 void DirectPlacement::EndSend(const decide::ServerPtr& aServer, SendResult aResult)
 {
   mCore.mFleet.RecordResult(aServer, aResult, mCore.Now());
+  if (mCore.mFleet.IsLeaving(*aServer)) {
+    mBackend.CloseIdle(aServer->Id());
+  }
   auto waiters = mWaiters.find(aServer->mRegistration.mService);
   if (waiters == mWaiters.end()) {
     return;
@@ -141,6 +145,26 @@
   }
 }
 
+// Applies what a server says of itself. An answer from another server at the address
+// speaks of the one that is registered there.
+void DirectPlacement::RecordNotices(const decide::ServerPtr& aServer,
+                                    const ServerAnswer& aAnswer)
+{
+  const decide::Registration& registration = aServer->mRegistration;
+  if (aAnswer.mDraining && !aServer->mNotice.mLeaving) {
+    base::Log(spdlog::level::info,
+              base::Event::BackendServerLeaving,
+              "server={} wrong_server={}",
+              aServer->Id(),
+              aAnswer.mWrongServer);
+    mCore.mMetrics.CountNotice(ServerNotice::Leaving);
+    mCore.mFleet.RecordLeaving(aServer);
+    if (aAnswer.mWrongServer) {
+      mCore.mFleet.RecordLeavingAt(registration.mAddress);
+    }
+  }
+}
+
 Awaitable<decide::ServerPtr> DirectPlacement::ChooseServer(Exchange& aExchange,
                                                            const Attempts& aAttempts)
 {
@@ -170,7 +194,7 @@
 {
   const decide::Registration& registration = aServer->mRegistration;
   BackendTarget target{ registration.mId, registration.mAddress, [&] {
-                         return !mCore.mFleet.IsLeaving(*aServer);
+                         return mCore.mFleet.MaySend(*aServer);
                        } };
   ++aAttempts.mSends;
   aAttempts.mServers.push_back(aServer);
@@ -194,6 +218,7 @@
   if (answer.mLoad) {
     mCore.mFleet.RecordLoad(aServer, *answer.mLoad, mCore.Now() - sent, mCore.Now());
   }
+  RecordNotices(aServer, answer);
   ClassifiedAnswer classified = ClassifyAnswer(answer);
   EndSend(aServer, classified.mResult);
   if (classified.mCode != Result::Ok) {
--- a/src/entry/direct.h
+++ b/src/entry/direct.h
@@ -58,6 +58,7 @@
                Instant aSent,
                const ServerAnswer& aAnswer) const;
   void LogRefusal(Exchange& aExchange, const decide::PlacementQuery& aQuery) const;
+  void RecordNotices(const decide::ServerPtr& aServer, const ServerAnswer& aAnswer);
   void EndSend(const decide::ServerPtr& aServer, decide::SendResult aResult);
   bool MayRetry(const Exchange& aExchange, const Attempts& aAttempts, Result aCode);
   decide::PlacementQuery QueryOf(const Exchange& aExchange,
--- a/src/entry/format.h
+++ b/src/entry/format.h
@@ -26,10 +26,10 @@
 struct ServerAnswer
 {
   decide::Outcome mOutcome;
-  std::string mRequestId;    // as echoed by the server; empty if absent
-  bool mNotRun = false;      // the server stated that it did not run the request
-  bool mWrongServer = false; // the address now belongs to another server
-  bool mDraining = false;
+  std::string mRequestId;     // as echoed by the server; empty if absent
+  bool mNotRun = false;       // the server stated that it did not run the request
+  bool mWrongServer = false;  // the address now belongs to another server
+  bool mDraining = false;     // the server leaves and wants no new requests
   bool mGenuine = true;       // false: the response did not come from the service
   bool mServerFailed = false; // the service reported an error of its own
   std::optional<decide::LoadReport> mLoad;
--- a/tests/standins/backend.cc
+++ b/tests/standins/backend.cc
@@ -4,7 +4,8 @@
 //
 // PUT /fault/MODE sets a fault: none, shed, drain, undrain, late (answers are delayed),
 // crossed (answers carry a wrong request id), cold (five times slower for ten seconds),
-// lag (load reports are frozen) and report (load reports are current again).
+// lag (load reports are frozen), report (load reports are current again) and leaving
+// (each answer says that the server leaves).
 //
 // GET /log returns a line for each request that ran: idempotency key, organisation,
 // target. GET /load returns the load report, GET /overruns the number of requests above
@@ -109,6 +110,9 @@
     if (mDraining) {
       response.set("X-Draining", "1");
     }
+    if (mFault == "leaving") {
+      response.set("Server-Leaving", "1");
+    }
     co_return response;
   }
 
--- a/tests/unit/entry_backend.cc
+++ b/tests/unit/entry_backend.cc
@@ -187,3 +187,36 @@
   CHECK(place("2") == Result::AnswerLost);
   CHECK(other.Requests() == 0);
 }
+
+namespace {
+
+// Places a lookup. Returns its result.
+Result PlaceLookup(Fixture& aFixture, DirectPlacement& aDirect, Exchange& aExchange)
+{
+  try {
+    return test::RunCoroutine(aFixture.mContext, aDirect.Place(aExchange)).mResult;
+  } catch (const base::RequestError& error) {
+    return error.Code();
+  }
+}
+
+} // namespace
+
+// Guards against DRAIN: requests to a server that said that it leaves, while its
+// registration still calls it ready.
+TEST_CASE("after an answer that says its server leaves no request is sent to it")
+{
+  Fixture fixture;
+  std::string leaving = Response("200 OK\r\nX-Draining: 1", "1", "ok");
+  test::ScriptedServer server(fixture.mContext, { leaving });
+  fixture.Register("i-1", "d1", server.Address());
+  DirectPlacement direct(fixture.mCore, fixture.mBackend);
+  Exchange first = fixture.MakeExchange("1");
+  CHECK(PlaceLookup(fixture, direct, first) == Result::Ok);
+  fixture.Register("i-1", "d1", server.Address());
+  Exchange second = fixture.MakeExchange("2");
+  CHECK(PlaceLookup(fixture, direct, second) == Result::NoBackendServer);
+  CHECK(server.Requests() == 1);
+  CHECK(fixture.mCore.mMetrics.Text().find("vanillaloft_server_leaving_total 1") !=
+        std::string::npos);
+}
--- a/tests/unit/platform.cc
+++ b/tests/unit/platform.cc
@@ -281,6 +281,20 @@
   }
 }
 
+// Guards against DRAIN: a server that leaves gets requests.
+TEST_CASE("an answer tells that its server leaves")
+{
+  platform::PlatformFormat format;
+  for (unsigned status : { 200U, 404U, 421U, 500U, 503U }) {
+    net::Response response = net::ResponseWithStatus(status);
+    CHECK_FALSE(format.FromServer(response).mDraining);
+    response.set("Server-Leaving", "1");
+    CHECK(format.FromServer(response).mDraining);
+    response.set("Server-Leaving", "0");
+    CHECK_FALSE(format.FromServer(response).mDraining);
+  }
+}
+
 TEST_CASE("a forwarded request contains no hop-by-hop fields and no API key")
 {
   platform::PlatformFormat format;
