A server that asks for a pause gets nothing until its end

It is decoded with fractions of seconds into ServerAnswer::mPause; a value that is negative or no number is no pause and costs a log line, one of hours is limited to kMaxRequestedPause. Until the latest end of its pauses the server gets nothing: no request, no retry, and none that was chosen before and is still connecting. It holds for one boot.

Requests for its objects go to other servers at once and return afterwards; after a pause above kMaxSpillPause asked for, the server ranks behind all others until its end. If all usual servers of an object are paused, any other that may serve is used. Refusals with a pause are no faults.

New: event 5006, counter vanillaloft_server_pauses_total, the fault "pause" of the stand-in.

--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -86,6 +86,10 @@
   EventInfo{ Event::BackendServerLeaving,
              "backend-server-leaving",
              "A backend server said in an answer that it leaves; it gets nothing new." },
+  EventInfo{ Event::BackendServerPause,
+             "backend-server-pause",
+             "A backend server refused a request and asked for a pause; one that cannot "
+             "be read is ignored." },
   EventInfo{ Event::RunbookStep, "runbook-step", "A runbook advanced by a step." },
   EventInfo{ Event::RunbookWaits,
              "runbook-waits",
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -41,6 +41,7 @@
   DataCentreEvacuated = 5003,
   AnswerSkipped = 5004,
   BackendServerLeaving = 5005,
+  BackendServerPause = 5006,
   RunbookStep = 6001,
   RunbookWaits = 6002,
   RunbookEnded = 6003,
--- a/src/decide/fleet.cc
+++ b/src/decide/fleet.cc
@@ -62,6 +62,18 @@
   return aRegions.empty() || std::ranges::find(aRegions, aRegion) != aRegions.end();
 }
 
+// Ranks a server after all others until the end of a pause that is longer than
+// kMaxSpillPause. Returns true if the server's rank changes.
+bool SuspectForLongPause(Server& aServer, Instant aNow)
+{
+  Instant until = aServer.mNotice.mPausedUntil;
+  if (until - aNow <= kMaxSpillPause || until <= aServer.mSuspectUntil) {
+    return false;
+  }
+  aServer.mSuspectUntil = until;
+  return true;
+}
+
 Rate WarmUpRate(double aPerSecond)
 {
   return { static_cast<MicroTokens>(aPerSecond * kWarmUpRateFraction * double(kToken)),
@@ -122,6 +134,7 @@
     server = std::make_shared<Server>();
     server->mKey = HashOf(aRegistration.mId);
     server->mNotice = mNotices.Of(aRegistration.Boot());
+    SuspectForLongPause(*server, aNow);
   }
   server->mRegistration = aRegistration;
   server->mLapsed = false;
@@ -254,7 +267,7 @@
 
 bool Fleet::HasRoom(Server& aServer, Instant aNow) const
 {
-  if (aNow < aServer.mPausedUntil) {
+  if (aNow < aServer.mPausedUntil || IsPaused(aServer, aNow)) {
     return false;
   }
   if (!HasFreeSlot(aServer, aNow)) {
@@ -296,23 +309,28 @@
   aServer.mLastSentByObject[aObject] = aNow;
 }
 
-// Selects the best candidate that has room. Only the first candidate and those with
-// affinity for the object are used at once. The others respond slowly at first, so they
-// are used only after a wait (mMaySpill). Candidates in other regions are skipped if
-// traffic would move there too fast, and preferred if it would move back too fast.
+// Selects the best candidate that has room. Only the first candidate that is not paused
+// and those with affinity for the object are used at once. The others respond slowly at
+// first, so they are used only after a wait (mMaySpill). Candidates in other regions are
+// skipped if traffic would move there too fast, and preferred if it would move back too
+// fast.
 const Fleet::Candidate* Fleet::SelectCandidate(const Ranking& aRanking,
                                                const PlacementQuery& aQuery,
                                                Instant aNow)
 {
   const Candidate* nearest = nullptr; // best in the region
   const Candidate* remote = nullptr;  // best in other regions
+  const Candidate* first = nullptr;   // that is not paused
   bool inRegion = false;
   for (const Candidate& candidate : aRanking.mCandidates) {
     bool leaves = candidate.mLocality == Locality::OtherRegion;
     inRegion = inRegion || !leaves;
     const Candidate*& best = leaves ? remote : nearest;
     Server& server = *candidate.mServer;
-    bool usable = &candidate == &aRanking.mCandidates.front() || aQuery.mMaySpill ||
+    if (!first && !IsPaused(server, aNow)) {
+      first = &candidate;
+    }
+    bool usable = &candidate == first || aQuery.mMaySpill ||
                   HasAffinity(server, aRanking.mObject, aNow);
     if (!best && usable && HasRoom(server, aNow)) {
       best = &candidate;
@@ -334,37 +352,95 @@
     return {};
   }
   const Ranking& ranking = RankingOf(aQuery, aNow);
-  const Candidate* selected = SelectCandidate(ranking, aQuery, aNow);
+  return AllPaused(ranking, aNow) ? ChooseUnpaused(aQuery, aNow)
+                                  : ChooseFrom(ranking, aQuery, aNow);
+}
+
+bool Fleet::AllPaused(const Ranking& aRanking, Instant aNow)
+{
+  return !aRanking.mCandidates.empty() &&
+         std::ranges::all_of(aRanking.mCandidates, [&](const Candidate& aCandidate) {
+           return IsPaused(*aCandidate.mServer, aNow);
+         });
+}
+
+// Chooses among the servers that are not paused, also those that are no candidates for
+// the object otherwise.
+ServerChoice Fleet::ChooseUnpaused(const PlacementQuery& aQuery, Instant aNow)
+{
+  PlacementQuery unpaused = aQuery;
+  Instant firstEnd = Instant::max();
+  for (const auto& [id, server] : mServers) {
+    if (IsPaused(*server, aNow) && MayServe(*server, aQuery)) {
+      unpaused.mTried.push_back(server.get());
+      firstEnd = std::min(firstEnd, server->mNotice.mPausedUntil);
+    }
+  }
+  const Ranking& ranking = RankingOf(unpaused, aNow);
+  if (ranking.mCandidates.empty()) {
+    return { nullptr, NoServerReason::AllPaused, firstEnd };
+  }
+  return ChooseFrom(ranking, unpaused, aNow);
+}
+
+Instant Fleet::FirstPauseEnd(const PlacementQuery& aQuery, Instant aNow) const
+{
+  Instant first = Instant::max();
+  for (const auto& [id, server] : mServers) {
+    if (MayServe(*server, aQuery)) {
+      first = std::min(first, server->mNotice.mPausedUntil);
+    }
+  }
+  bool allPaused = first != Instant::max() && first > aNow;
+  return allPaused ? first : Instant();
+}
+
+ServerChoice Fleet::ChooseFrom(const Ranking& aRanking,
+                               const PlacementQuery& aQuery,
+                               Instant aNow)
+{
+  const Candidate* selected = SelectCandidate(aRanking, aQuery, aNow);
   if (!selected) {
     return { nullptr,
-             ranking.mCandidates.empty() ? NoServerReason::NoCandidate
-                                         : NoServerReason::AllFull };
+             aRanking.mCandidates.empty() ? NoServerReason::NoCandidate
+                                          : NoServerReason::AllFull,
+             {} };
   }
   Server& server = *selected->mServer;
   ++server.mInFlight;
   TakeWarmUpToken(server, aNow);
-  RecordAffinity(server, ranking.mObject, aNow);
+  RecordAffinity(server, aRanking.mObject, aNow);
   mShiftLimiter.Count(selected->mLocality == Locality::OtherRegion, aNow);
-  return { selected->mServer, NoServerReason::NoCandidate };
+  return { selected->mServer, NoServerReason::NoCandidate, {} };
 }
 
-void Fleet::RecordLeaving(const ServerPtr& aServer)
+void Fleet::RecordLeaving(const ServerPtr& aServer, Instant aNow)
 {
-  mNotices.RecordLeaving(aServer->mRegistration.Boot());
+  mNotices.RecordLeaving(aServer->mRegistration.Boot(), aNow);
   aServer->mNotice.mLeaving = true;
   ForgetRankings();
 }
 
-void Fleet::RecordLeavingAt(const base::HostPort& aAddress)
+void Fleet::RecordLeavingAt(const base::HostPort& aAddress, Instant aNow)
 {
   for (const auto& [id, server] : mServers) {
     const base::HostPort& address = server->mRegistration.mAddress;
     if (address.mHost == aAddress.mHost && address.mPort == aAddress.mPort) {
-      RecordLeaving(server);
+      RecordLeaving(server, aNow);
     }
   }
 }
 
+void Fleet::RecordPause(const ServerPtr& aServer, Duration aPause, Instant aNow)
+{
+  ServerBoot boot = aServer->mRegistration.Boot();
+  mNotices.RecordPause(boot, aPause, aNow);
+  aServer->mNotice.mPausedUntil = mNotices.Of(boot).mPausedUntil;
+  if (SuspectForLongPause(*aServer, aNow)) {
+    ForgetRankings();
+  }
+}
+
 std::vector<CandidateState> Fleet::DescribeCandidates(const PlacementQuery& aQuery,
                                                       Instant aNow)
 {
@@ -410,7 +486,7 @@
 {
   Server& server = *aServer;
   --server.mInFlight;
-  if (aResult == SendResult::Cancelled) {
+  if (aResult == SendResult::Cancelled || aResult == SendResult::Paused) {
     return;
   }
   bool fault = aResult != SendResult::Answered;
@@ -420,7 +496,7 @@
     if (aNow >= server.mSuspectUntil) {
       ForgetRankings();
     }
-    server.mSuspectUntil = aNow + kSuspectTime;
+    server.mSuspectUntil = std::max(server.mSuspectUntil, aNow + kSuspectTime);
   }
   switch (aResult) {
     case SendResult::Gone:
--- a/src/decide/fleet.h
+++ b/src/decide/fleet.h
@@ -56,6 +56,7 @@
   Failed,    // responded with a failure of its own
   Full,      // rejected the request for lack of capacity
   Gone,      // another server has the address
+  Paused,    // rejected the request and asked for a pause
   Refused,   // the connection failed
   Lost,      // no complete response arrived
   Cancelled, // abandoned by this instance, not a fault of the server
@@ -107,6 +108,7 @@
 enum class NoServerReason : std::uint8_t
 {
   AllFull,     // there are candidates, but none has room now
+  AllPaused,   // all servers that may take the request asked for a pause
   NoCandidate, // no server may take the request
 };
 
@@ -114,6 +116,7 @@
 {
   ServerPtr mServer; // null: none
   NoServerReason mReason = NoServerReason::NoCandidate;
+  Instant mPausedUntil{}; // with AllPaused: when the first pause ends
 };
 
 // State of one candidate for an object, as a placement uses it.
@@ -175,11 +178,24 @@
 
   // Records that a server said that it is leaving. It gets nothing new, whatever later
   // copies of its registration say, until it is started again.
-  void RecordLeaving(const ServerPtr& aServer);
+  void RecordLeaving(const ServerPtr& aServer, Instant aNow);
   // The same for all servers registered at an address.
-  void RecordLeavingAt(const base::HostPort& aAddress);
+  void RecordLeavingAt(const base::HostPort& aAddress, Instant aNow);
+  // Records that a server wants no requests for aPause.
+  void RecordPause(const ServerPtr& aServer, Duration aPause, Instant aNow);
+  // When the first pause ends if all servers that may take a request are paused;
+  // otherwise Instant().
+  Instant FirstPauseEnd(const PlacementQuery& aQuery, Instant aNow) const;
+  // True while a server wants no requests.
+  static bool IsPaused(const Server& aServer, Instant aNow)
+  {
+    return aNow < aServer.mNotice.mPausedUntil;
+  }
   // True if a request may be sent to a server that was chosen for it before.
-  bool MaySend(const Server& aServer) const { return !IsLeaving(aServer); }
+  bool MaySend(const Server& aServer, Instant aNow) const
+  {
+    return !IsLeaving(aServer) && !IsPaused(aServer, aNow);
+  }
 
   const std::map<std::string, ServerPtr>& Servers() const { return mServers; }
 
@@ -218,6 +234,11 @@
     double mUsualRemoteFraction = 0;
   };
 
+  static bool AllPaused(const Ranking& aRanking, Instant aNow);
+  ServerChoice ChooseUnpaused(const PlacementQuery& aQuery, Instant aNow);
+  ServerChoice ChooseFrom(const Ranking& aRanking,
+                          const PlacementQuery& aQuery,
+                          Instant aNow);
   const Candidate* SelectCandidate(const Ranking& aRanking,
                                    const PlacementQuery& aQuery,
                                    Instant aNow);
--- a/src/entry/core.cc
+++ b/src/entry/core.cc
@@ -35,6 +35,7 @@
 constexpr MetricRow kNoticeCounters[] = {
   { "vanillaloft_server_leaving_total",
     "Boots of backend servers that said they leave." },
+  { "vanillaloft_server_pauses_total", "Pauses that backend servers asked for." },
 };
 
 } // namespace
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -98,7 +98,8 @@
 // What a backend server said of itself in a response.
 enum class ServerNotice : std::uint8_t
 {
-  Leaving
+  Leaving,
+  Pause
 };
 
 // Prometheus metrics of one instance.
@@ -117,7 +118,7 @@
   prometheus::Family<prometheus::Counter>& mRequests;
   prometheus::Family<prometheus::Histogram>& mLatency;
   std::map<std::string, prometheus::Gauge*> mGauges;
-  std::array<prometheus::Counter*, 1> mNotices{}; // by ServerNotice
+  std::array<prometheus::Counter*, 2> mNotices{}; // by ServerNotice
 };
 
 class Core
--- a/src/entry/direct.cc
+++ b/src/entry/direct.cc
@@ -82,6 +82,10 @@
   if (aAnswer.mWrongServer) {
     return { SendResult::Gone, Result::BackendServerShed };
   }
+  if (aAnswer.mPause && aAnswer.mPause->mPause > Duration::zero()) {
+    return { SendResult::Paused,
+             aAnswer.mNotRun ? Result::BackendServerShed : Result::AnswerLost };
+  }
   if (aAnswer.mNotRun) {
     return { SendResult::Full, Result::BackendServerShed };
   }
@@ -158,11 +162,25 @@
               aServer->Id(),
               aAnswer.mWrongServer);
     mCore.mMetrics.CountNotice(ServerNotice::Leaving);
-    mCore.mFleet.RecordLeaving(aServer);
+    mCore.mFleet.RecordLeaving(aServer, mCore.Now());
     if (aAnswer.mWrongServer) {
-      mCore.mFleet.RecordLeavingAt(registration.mAddress);
+      mCore.mFleet.RecordLeavingAt(registration.mAddress, mCore.Now());
     }
   }
+  if (!aAnswer.mPause) {
+    return;
+  }
+  using std::chrono::milliseconds;
+  base::Log(spdlog::level::info,
+            base::Event::BackendServerPause,
+            "server={} readable={} pause_ms={}",
+            aServer->Id(),
+            aAnswer.mPause->mReadable,
+            std::chrono::duration_cast<milliseconds>(aAnswer.mPause->mPause).count());
+  if (aAnswer.mPause->mPause > Duration::zero()) {
+    mCore.mMetrics.CountNotice(ServerNotice::Pause);
+    mCore.mFleet.RecordPause(aServer, aAnswer.mPause->mPause, mCore.Now());
+  }
 }
 
 Awaitable<decide::ServerPtr> DirectPlacement::ChooseServer(Exchange& aExchange,
@@ -177,7 +195,11 @@
     if (choice.mServer) {
       co_return choice.mServer;
     }
-    if (choice.mReason == decide::NoServerReason::NoCandidate) {
+    bool allPaused =
+      choice.mReason == decide::NoServerReason::AllPaused && choice.mPausedUntil > until;
+    if (choice.mReason == decide::NoServerReason::NoCandidate || allPaused) {
+      aExchange.mRetryAt =
+        mCore.mFleet.FirstPauseEnd(QueryOf(aExchange, {}), mCore.Now());
       throw RequestError(Result::NoBackendServer);
     }
     if (aExchange.CallerDisconnected() || query.mMaySpill) {
@@ -194,7 +216,7 @@
 {
   const decide::Registration& registration = aServer->mRegistration;
   BackendTarget target{ registration.mId, registration.mAddress, [&] {
-                         return mCore.mFleet.MaySend(*aServer);
+                         return mCore.mFleet.MaySend(*aServer, mCore.Now());
                        } };
   ++aAttempts.mSends;
   aAttempts.mServers.push_back(aServer);
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -55,6 +55,7 @@
   Instant mDeadline{};
   CallerConnection* mCaller = nullptr; // null for requests from peers
   std::string mSendLog;                // each send and its result, for the log
+  Instant mRetryAt{};                  // earliest useful retry after a refusal, if known
   std::string mRefusalLog; // servers without free capacity at a refusal, for the log
 
   // Takes over a configuration. Indexes into the tables of the former one are cleared.
--- a/src/entry/format.cc
+++ b/src/entry/format.cc
@@ -1,5 +1,8 @@
 #include "entry/format.h"
 
+#include <charconv>
+#include <cmath>
+
 #include <nlohmann/json.hpp>
 
 namespace vanillaloft::entry {
@@ -57,6 +60,25 @@
   return exchange;
 }
 
+std::optional<PauseNotice> PauseOf(const net::Response& aResponse)
+{
+  if (aResponse.result() != http::status::service_unavailable ||
+      aResponse.count(http::field::retry_after) == 0) {
+    return std::nullopt;
+  }
+  std::string_view text = ToStringView(aResponse[http::field::retry_after]);
+  double seconds = 0;
+  auto [end, error] = std::from_chars(
+    text.data(), text.data() + text.size(), seconds, std::chars_format::fixed);
+  bool complete = error == std::errc() && end == text.data() + text.size();
+  if (!complete || !std::isfinite(seconds) || seconds < 0) {
+    return PauseNotice{ Duration::zero(), false };
+  }
+  std::chrono::duration<double> limit = decide::kMaxRequestedPause;
+  std::chrono::duration<double> pause(std::min(seconds, limit.count()));
+  return PauseNotice{ std::chrono::duration_cast<Duration>(pause), true };
+}
+
 net::Response NativeFormat::ToCaller(decide::Outcome aOutcome) const
 {
   if (aOutcome.mResult != Result::Ok) {
@@ -103,6 +125,7 @@
   ServerAnswer answer;
   answer.mRequestId = std::string(ToStringView(aResponse[kRequestIdHeader]));
   answer.mDraining = aResponse.count(kDrainingHeader) > 0;
+  answer.mPause = PauseOf(aResponse);
   answer.mNotRun = aResponse.result() == http::status::service_unavailable &&
                    aResponse.count(kNotRunHeader) > 0;
   answer.mOutcome.mResult = Result::Ok;
--- a/src/entry/format.h
+++ b/src/entry/format.h
@@ -22,14 +22,22 @@
   bool mOrder = false;                   // the request carries an idempotency ticket
 };
 
+// A server's statement for how long it wants no requests.
+struct PauseNotice
+{
+  Duration mPause{}; // zero: none
+  bool mReadable = true;
+};
+
 // The decoded response of a backend server.
 struct ServerAnswer
 {
   decide::Outcome mOutcome;
-  std::string mRequestId;     // as echoed by the server; empty if absent
-  bool mNotRun = false;       // the server stated that it did not run the request
-  bool mWrongServer = false;  // the address now belongs to another server
-  bool mDraining = false;     // the server leaves and wants no new requests
+  std::string mRequestId;    // as echoed by the server; empty if absent
+  bool mNotRun = false;      // the server stated that it did not run the request
+  bool mWrongServer = false; // the address now belongs to another server
+  bool mDraining = false;    // the server leaves and wants no new requests
+  std::optional<PauseNotice> mPause;
   bool mGenuine = true;       // false: the response did not come from the service
   bool mServerFailed = false; // the service reported an error of its own
   std::optional<decide::LoadReport> mLoad;
@@ -59,6 +67,9 @@
   ServerAnswer FromServer(net::Response aResponse) const override;
 };
 
+// Reads the pause that a refusal with status 503 asks for. Empty if it asks for none.
+std::optional<PauseNotice> PauseOf(const net::Response& aResponse);
+
 // Returns the key in the Authorization header if the header starts with aScheme.
 std::optional<std::string> AuthorizationKey(const net::Request& aRequest,
                                             std::string_view aScheme);
--- a/src/entry/pipeline.cc
+++ b/src/entry/pipeline.cc
@@ -115,6 +115,10 @@
   if (base::InfoOf(aCode).mExecuted == base::Executed::No) {
     aOutcome.mRetryAfter =
       decide::RetryAfter(aCode, decide::HashOf(aExchange.mRequestId));
+    if (aExchange.mRetryAt > mCore.Now()) {
+      aOutcome.mRetryAfter = decide::RetryAfterPause(
+        aExchange.mRetryAt - mCore.Now(), decide::HashOf(aExchange.mRequestId));
+    }
   }
 }
 
--- a/tests/standins/backend.cc
+++ b/tests/standins/backend.cc
@@ -4,8 +4,8 @@
 //
 // PUT /fault/MODE sets a fault: none, shed, drain, undrain, late (answers are delayed),
 // crossed (answers carry a wrong request id), cold (five times slower for ten seconds),
-// lag (load reports are frozen), report (load reports are current again) and leaving
-// (each answer says that the server leaves).
+// lag (load reports are frozen), report (load reports are current again), leaving (each
+// answer says that the server leaves) and pause (refuses and asks for a pause).
 //
 // GET /log returns a line for each request that ran: idempotency key, organisation,
 // target. GET /load returns the load report, GET /overruns the number of requests above
@@ -25,6 +25,7 @@
 constexpr std::chrono::milliseconds kLateAnswerDelay{ 5000 };
 constexpr std::chrono::seconds kColdDuration{ 10 };
 constexpr int kColdFactor = 5;
+constexpr const char* kPauseSeconds = "1.5";
 
 class BackendStandIn
 {
@@ -89,9 +90,12 @@
     std::string id(aRequest["X-Request-Id"].data(), aRequest["X-Request-Id"].size());
     bool full = mInFlight >= mSlots;
     mOverruns += full ? 1 : 0;
-    if (full || mFault == "shed") {
+    if (full || mFault == "shed" || mFault == "pause") {
       net::Response shed = Reply(503, "shed");
       shed.set("X-Not-Run", "1");
+      if (mFault == "pause") {
+        shed.set(http::field::retry_after, kPauseSeconds);
+      }
       co_return shed;
     }
     if (aRequest.count(http::field::authorization) > 0) {
--- a/tests/unit/decide_notice.cc
+++ b/tests/unit/decide_notice.cc
@@ -1,4 +1,4 @@
-// Tests of what backend servers say of themselves.
+// Tests of what backend servers say of themselves: that they leave or want a pause.
 #include <doctest/doctest.h>
 
 #include <fmt/format.h>
@@ -60,7 +60,7 @@
 TEST_CASE("a server that says it leaves gets nothing until it is started again")
 {
   Fixture fixture(1);
-  fixture.mFleet.RecordLeaving(fixture.Choose());
+  fixture.mFleet.RecordLeaving(fixture.Choose(), fixture.mNow);
   CHECK_FALSE(fixture.Choose());
   fixture.Register("s-0", 1); // a later copy of the entry
   CHECK_FALSE(fixture.Choose());
@@ -81,7 +81,7 @@
 {
   Fixture fixture(4);
   ServerPtr first = fixture.Choose();
-  fixture.mFleet.RecordLeaving(first);
+  fixture.mFleet.RecordLeaving(first, fixture.mNow);
   ServerPtr second = fixture.Choose();
   REQUIRE(second);
   CHECK(second != first);
@@ -94,16 +94,106 @@
 {
   Fixture fixture(2);
   ServerPtr server = fixture.mFleet.Choose(fixture.mQuery, fixture.mNow).mServer;
-  CHECK(fixture.mFleet.MaySend(*server));
-  fixture.mFleet.RecordLeaving(server);
-  CHECK_FALSE(fixture.mFleet.MaySend(*server));
+  CHECK(fixture.mFleet.MaySend(*server, fixture.mNow));
+  fixture.mFleet.RecordLeaving(server, fixture.mNow);
+  CHECK_FALSE(fixture.mFleet.MaySend(*server, fixture.mNow));
 }
 
 TEST_CASE("an answer from another server at an address speaks of that server")
 {
   Fixture fixture(2);
-  fixture.mFleet.RecordLeavingAt({ "127.0.0.1", 2 });
+  fixture.mFleet.RecordLeavingAt({ "127.0.0.1", 2 }, fixture.mNow);
   CHECK(fixture.Choose());
-  fixture.mFleet.RecordLeavingAt({ "127.0.0.1", 1 });
+  fixture.mFleet.RecordLeavingAt({ "127.0.0.1", 1 }, fixture.mNow);
   CHECK_FALSE(fixture.Choose());
 }
+
+// Guards against BUDGET: requests to a server that asked for a pause.
+TEST_CASE("a paused server gets nothing until the latest end of its pauses")
+{
+  Fixture fixture(1);
+  ServerPtr server = fixture.Choose();
+  fixture.mFleet.RecordPause(server, 3s, fixture.mNow);
+  fixture.mFleet.RecordPause(server, 1s, fixture.mNow);
+  fixture.mNow += 2999ms;
+  CHECK_FALSE(fixture.mFleet.MaySend(*server, fixture.mNow));
+  ServerChoice choice = fixture.mFleet.Choose(fixture.mQuery, fixture.mNow);
+  CHECK_FALSE(choice.mServer);
+  CHECK(choice.mReason == NoServerReason::AllPaused);
+  CHECK(choice.mPausedUntil == fixture.mNow + 1ms);
+  fixture.mFleet.Deregister("s-0");
+  fixture.Register("s-0", 1);
+  CHECK_FALSE(fixture.Choose());
+  fixture.mNow += 1ms;
+  CHECK(fixture.Choose());
+}
+
+TEST_CASE("a new boot ends a pause, and a pause of hours is limited")
+{
+  Fixture fixture(1);
+  fixture.mFleet.RecordPause(fixture.Choose(), 10h, fixture.mNow);
+  CHECK_FALSE(fixture.Choose());
+  fixture.Register("s-0", 2);
+  CHECK(fixture.Choose());
+  fixture.Register("s-0", 1);
+  CHECK_FALSE(fixture.Choose());
+  fixture.mNow += kMaxRequestedPause;
+  CHECK(fixture.Choose());
+}
+
+TEST_CASE("during a short pause requests spill at once and return to the same server")
+{
+  Fixture fixture(4);
+  ServerPtr first = fixture.Choose();
+  fixture.mFleet.RecordPause(first, kMaxSpillPause, fixture.mNow);
+  ServerPtr other = fixture.Choose();
+  REQUIRE(other);
+  CHECK(other != first);
+  fixture.mNow += kMaxSpillPause;
+  CHECK(fixture.Choose() == first);
+}
+
+TEST_CASE("a long pause ranks a server after all others until its end")
+{
+  Fixture fixture(4);
+  ServerPtr first = fixture.Choose();
+  Duration pause = kMaxSpillPause + 5s;
+  fixture.mFleet.RecordPause(first, pause, fixture.mNow);
+  REQUIRE(fixture.Choose());
+  CHECK(fixture.Choose() != first);
+  fixture.mNow += pause;
+  CHECK(fixture.Choose() == first);
+}
+
+TEST_CASE("while all usual servers of an object are paused another one serves it")
+{
+  Fixture fixture(8);
+  for (int i = 0; i < 7; ++i) {
+    ServerPtr server = fixture.Choose();
+    REQUIRE(server);
+    fixture.mFleet.RecordPause(server, 5s, fixture.mNow);
+  }
+  CHECK(fixture.mFleet.FirstPauseEnd(fixture.mQuery, fixture.mNow) == Instant());
+  ServerPtr last = fixture.Choose();
+  REQUIRE(last);
+  fixture.mFleet.RecordPause(last, 4s, fixture.mNow);
+  CHECK_FALSE(fixture.Choose());
+  CHECK(fixture.mFleet.FirstPauseEnd(fixture.mQuery, fixture.mNow) == fixture.mNow + 4s);
+}
+
+TEST_CASE("refusals with a pause are no faults of the server")
+{
+  Fixture fixture(4);
+  ServerPtr first = fixture.Choose();
+  for (int i = 0; i < 5; ++i) {
+    ++first->mInFlight;
+    fixture.mFleet.RecordResult(first, SendResult::Paused, fixture.mNow);
+  }
+  CHECK(fixture.Choose() == first);
+}
+
+TEST_CASE("callers return spread over time, none before the pause ends")
+{
+  CHECK(RetryAfterPause(2s, 0) >= 2s);
+  CHECK(RetryAfterPause(2s, 1) != RetryAfterPause(2s, 2));
+}
--- a/tests/unit/entry_backend.cc
+++ b/tests/unit/entry_backend.cc
@@ -220,3 +220,36 @@
   CHECK(fixture.mCore.mMetrics.Text().find("vanillaloft_server_leaving_total 1") !=
         std::string::npos);
 }
+
+// Guards against BUDGET: requests to a server that asked for a pause.
+TEST_CASE("after a refusal with a pause no request is sent, and callers learn the end")
+{
+  Fixture fixture;
+  std::string refusal = Response("503 Busy\r\nX-Not-Run: 1\r\nRetry-After: 30", "1", "");
+  test::ScriptedServer server(fixture.mContext, { refusal });
+  fixture.Register("i-1", "d1", server.Address());
+  DirectPlacement direct(fixture.mCore, fixture.mBackend);
+  Exchange first = fixture.MakeExchange("1");
+  CHECK(PlaceLookup(fixture, direct, first) == Result::NoBackendServer);
+  CHECK(first.mRetryAt > fixture.mClock.Now() + 25s);
+  Exchange second = fixture.MakeExchange("2");
+  Instant placed = fixture.mClock.Now();
+  CHECK(PlaceLookup(fixture, direct, second) == Result::NoBackendServer);
+  CHECK(second.mRetryAt == first.mRetryAt);
+  CHECK(fixture.mClock.Now() - placed < 25ms); // refused at once
+  CHECK(server.Requests() == 1);
+}
+
+TEST_CASE("a pause that cannot be read is ignored")
+{
+  Fixture fixture;
+  std::string refusal =
+    Response("503 Busy\r\nX-Not-Run: 1\r\nRetry-After: soon", "1", "");
+  test::ScriptedServer server(fixture.mContext, { refusal, Answer("2") });
+  fixture.Register("i-1", "d1", server.Address());
+  DirectPlacement direct(fixture.mCore, fixture.mBackend);
+  Exchange first = fixture.MakeExchange("1");
+  CHECK(PlaceLookup(fixture, direct, first) == Result::NoBackendServer);
+  Exchange second = fixture.MakeExchange("2");
+  CHECK(PlaceLookup(fixture, direct, second) == Result::Ok);
+}
--- a/tests/unit/platform.cc
+++ b/tests/unit/platform.cc
@@ -281,8 +281,8 @@
   }
 }
 
-// Guards against DRAIN: a server that leaves gets requests.
-TEST_CASE("an answer tells that its server leaves")
+// Guards against DRAIN and BUDGET: a server that leaves or wants a pause gets requests.
+TEST_CASE("an answer tells that its server leaves or wants a pause")
 {
   platform::PlatformFormat format;
   for (unsigned status : { 200U, 404U, 421U, 500U, 503U }) {
@@ -292,6 +292,28 @@
     CHECK(format.FromServer(response).mDraining);
     response.set("Server-Leaving", "0");
     CHECK_FALSE(format.FromServer(response).mDraining);
+    response.set(http::field::retry_after, "1.5");
+    CHECK(format.FromServer(response).mPause.has_value() == (status == 503));
+  }
+}
+
+TEST_CASE("a pause that cannot be read is none, and a long one is limited")
+{
+  platform::PlatformFormat format;
+  net::Response refusal = net::ResponseWithStatus(503);
+  auto pauseOf = [&](const char* aText) {
+    refusal.set(http::field::retry_after, aText);
+    return *format.FromServer(refusal).mPause;
+  };
+  CHECK(pauseOf("1.5").mPause == 1500ms);
+  CHECK(pauseOf("2").mPause == 2s);
+  CHECK(pauseOf("0").mPause == 0s);
+  CHECK(pauseOf("7200").mPause == decide::kMaxRequestedPause);
+  for (const char* text :
+       { "", "-1", "+1", "x", "1s", "1,5", "nan", "inf", "1e3", "Mon, 07 Dec 2026" }) {
+    CAPTURE(text);
+    CHECK(pauseOf(text).mPause == 0s);
+    CHECK_FALSE(pauseOf(text).mReadable);
   }
 }
 
