The head of an answer is checked also when it arrives in pieces

Cause: the parser consumes each whole field of a head, so the scanner, which counts from the beginning of the head, lost its place as soon as a head arrived in two pieces: right answers failed at Stage::Sent (and a fault behind the first piece went unseen). Change: the parser gets a head only when it is whole; bytes that cannot begin a response fail at once, as before.

--- a/src/net/http.cc
+++ b/src/net/http.cc
@@ -20,6 +20,8 @@
 using Clock = std::chrono::steady_clock;
 using Error = boost::system::error_code;
 
+constexpr std::string_view kProtocol = "HTTP/1.";
+constexpr std::string_view kHeadEnd = "\r\n\r\n";
 constexpr std::size_t kReadBytes = 16UL * 1024;
 constexpr unsigned kMaxInterimResponses = 16; // before one final response
 constexpr unsigned kMinStatus = 100;          // lower ones are not HTTP
@@ -35,6 +37,16 @@
   }
 }
 
+std::string_view BytesOf(const beast::flat_buffer& aBuffer)
+{
+  return { static_cast<const char*>(aBuffer.data().data()), aBuffer.size() };
+}
+
+bool HasWholeHead(std::string_view aBytes)
+{
+  return aBytes.find(kHeadEnd) != std::string_view::npos;
+}
+
 } // namespace
 
 void EnableDeadPeerDetection(asio::ip::tcp::socket& aSocket)
@@ -92,21 +104,30 @@
   ParseBuffer(aParser);
 }
 
-// A head that can be understood in two ways tells no length. Throws CallError.
+// Throws CallError if the bytes are no response, or if the head can be understood in two
+// ways, since it tells no length then, or is too large.
 void Connection::CheckHead(HeadScanner& aHead)
 {
-  aHead.Scan({ static_cast<const char*>(mBuffer.data().data()), mBuffer.size() });
-  if (aHead.Fault() != FramingFault::None) {
+  std::string_view bytes = BytesOf(mBuffer);
+  aHead.Scan(bytes);
+  bool isResponse = bytes.starts_with(kProtocol) || kProtocol.starts_with(bytes);
+  bool tooLarge = !HasWholeHead(bytes) && bytes.size() > kMaxUnparsedBytes;
+  if (aHead.Fault() != FramingFault::None || !isResponse || tooLarge) {
     Close();
     throw CallError(Stage::Sent, false, "the head of the response is malformed");
   }
 }
 
-// Parses the received bytes. Bytes behind the end of the response stay in the buffer.
+// Parses the received bytes. Bytes behind the end of the response stay in the buffer. The
+// parser gets no part of a head, because it consumes each whole field and the scanner
+// reads the head from its beginning.
 void Connection::ParseBuffer(Parser& aParser)
 {
   if (!aParser.is_header_done()) {
     CheckHead(aParser.mHead);
+    if (!HasWholeHead(BytesOf(mBuffer))) {
+      return;
+    }
   }
   Error error;
   mBuffer.consume(aParser.put(mBuffer.data(), error));
--- a/tests/unit/canned.h
+++ b/tests/unit/canned.h
@@ -22,9 +22,13 @@
 class CannedServer
 {
 public:
-  CannedServer(boost::asio::io_context& aContext, std::string aResponse)
+  // Sends the response in pieces of aPieceBytes.
+  CannedServer(boost::asio::io_context& aContext,
+               std::string aResponse,
+               std::size_t aPieceBytes = std::string::npos)
     : mAcceptor(aContext, { boost::asio::ip::address_v4::loopback(), 0 })
     , mResponse(std::move(aResponse))
+    , mPieceBytes(aPieceBytes)
   {
     boost::asio::co_spawn(aContext, Serve(), boost::asio::detached);
   }
@@ -44,12 +48,20 @@
                                            boost::asio::dynamic_buffer(mReceived),
                                            "\r\n\r\n",
                                            boost::asio::use_awaitable);
-    co_await boost::asio::async_write(
-      socket, boost::asio::buffer(mResponse), boost::asio::use_awaitable);
+    socket.set_option(boost::asio::ip::tcp::no_delay(true));
+    for (std::size_t from = 0; from < mResponse.size();) {
+      std::size_t size = std::min(mPieceBytes, mResponse.size() - from);
+      co_await boost::asio::async_write(
+        socket,
+        boost::asio::buffer(mResponse.data() + from, size),
+        boost::asio::use_awaitable);
+      from += size;
+    }
   }
 
   boost::asio::ip::tcp::acceptor mAcceptor;
   std::string mResponse;
+  std::size_t mPieceBytes;
   std::string mReceived;
 };
 
--- a/tests/unit/net.cc
+++ b/tests/unit/net.cc
@@ -112,6 +112,25 @@
   CHECK(server.Received().starts_with("GET / HTTP/1.1\r\n"));
 }
 
+// Guards against a check of the head that loses its place when the head arrives in
+// pieces.
+TEST_CASE("a response that arrives in pieces is returned")
+{
+  for (std::size_t pieceBytes : { 1, 3, 20, 30 }) {
+    CAPTURE(pieceBytes);
+    boost::asio::io_context context;
+    test::CannedServer server(
+      context,
+      "HTTP/1.1 200 OK\r\nX-Signature: 0123456789abcdef\r\nContent-Length: 5\r\nX-Last: "
+      "z\r\n\r\nhello",
+      pieceBytes);
+    net::Response response =
+      test::RunCoroutine(context, net::CallOnce(server.Address(), Get(), 2000ms));
+    CHECK(response.body() == "hello");
+    CHECK(response["X-Last"] == "z");
+  }
+}
+
 TEST_CASE("a refused connection fails at Stage::Connect, before anything is sent")
 {
   boost::asio::io_context context;
