Limits: the holder borrows for its mates, in batches, wherever tokens are

Cause (trace of 85 instances, all logs): an organisation with a small limit has its whole budget with one holder. Instances of some data centres never asked it, because they had heard its heartbeat once and are not among those that get its heartbeats, so it seemed to have timed out. Its requests were refused there for as long as the pool stayed. Besides, each request made one round of its own and was refused after 10 ms; the pool moved at a single request elsewhere, and nobody held it until the new holder renewed.

Change: an instance asks the holder of its data centre, found by heartbeats; that one debits, borrows from other holders for all that wait, and lets mates wait up to 150 ms (the users' platform). A holder that does not answer is passed over for 500 ms; old heartbeats count no more. Tokens of a loan lapse on the borrower's clock, counted from before it asked; the burst is reduced by what can be in flight (120 ms, at most a sixth of the burst). A small pool moves only for a token per second more. Refusals are counted and logged by whether another holder may have had tokens.

Calls between instances stay at about one a request of an instance that is no holder (docs/design/limits.md says why).

The simulated fleet of the scenarios borrows as the product does now, and random schedules learn moves of 70% of the callers and 7.5 times the rate.

--- a/src/daemon/instance.cc
+++ b/src/daemon/instance.cc
@@ -65,7 +65,7 @@
               mBackend,
               aDispatchMode == DispatchMode::Direct ? &mDirectPlacement : nullptr)
   , mLookUps(mCore)
-  , mRelay(mCore, mPipeline)
+  , mRelay(mCore, mPipeline, mAdmission.mTokens)
   , mListener(mCore, aFormat)
   , mLoops(mCore, mAdmission, mBackend, mLookUps, mRelay, mListener, *mStore)
   , mPeerServer(mContext, mRelay, aSettings.mPeerAddress)
--- a/src/decide/share.cc
+++ b/src/decide/share.cc
@@ -12,12 +12,15 @@
 
 constexpr double kDemandSmoothing = 0.5; // weight of the newest interval
 // Demand is recorded in hundredths of a token.
-constexpr MicroTokens kDemandUnitsPerToken = 100;
+constexpr std::uint64_t kDemandUnitsPerToken = 100;
 constexpr MicroTokens kMinPoolShareBurst =
   4 * kToken; // smaller ones go to the preferred holder
 constexpr Duration kDemandInterval = std::chrono::seconds(1);
-// At most a quarter of the burst is reserved for tokens in flight.
-constexpr MicroTokens kTokenLifeBurstDivisor = 4;
+// At most a sixth of the burst is reserved for tokens in flight.
+constexpr MicroTokens kTokenLifeBurstDivisor = 6;
+// A quarter of a share's burst is kept from loans that need not be given.
+constexpr MicroTokens kLendReserveDivisor = 4;
+constexpr MicroTokens kMicrosecondsPerSecond = 1'000'000;
 
 Rate Fraction(Rate aWhole, std::int64_t aCount, std::int64_t aOf)
 {
@@ -47,6 +50,12 @@
            aUsable.mBurst - floors.mBurst * centres };
 }
 
+// Parts of a token are not lent ahead: they would lapse unused.
+MicroTokens WholeTokens(MicroTokens aAmount)
+{
+  return aAmount / kToken * kToken;
+}
+
 // A holder that may be asked for tokens.
 struct TokenSource
 {
@@ -79,10 +88,10 @@
   if (usable.mPerSecond <= 0) {
     return { usable, kMaxTokenLife };
   }
-  Duration quarter(usable.mBurst / kTokenLifeBurstDivisor * 1'000'000 /
-                   usable.mPerSecond);
-  Duration life = std::min(kMaxTokenLife, quarter);
-  usable.mBurst -= usable.mPerSecond * life.count() / 1'000'000;
+  Duration reserved(usable.mBurst / kTokenLifeBurstDivisor * kMicrosecondsPerSecond /
+                    usable.mPerSecond);
+  Duration life = std::min(kMaxTokenLife, reserved);
+  usable.mBurst -= usable.mPerSecond * life.count() / kMicrosecondsPerSecond;
   return { usable, life };
 }
 
@@ -160,6 +169,7 @@
     requested.push_back(known ? mRequestedTokens[old->second] : 0);
   }
   mBuckets = std::move(buckets);
+  mLoans.assign(mKeys.size(), {});
   mDemand = std::move(demand);
   mRequestedTokens = std::move(requested);
   mConfig = std::move(aConfig);
@@ -313,14 +323,15 @@
 
 // The holder that gets the rest of a pool after the shares of the others: the one with
 // the largest demand. The holder of more than half of the pool is replaced only by one
-// with more than twice its demand, because the bucket of a new holder is empty.
+// with more than twice its demand and a token per second, because nobody holds the pool
+// until the new holder renews, whose bucket is then empty.
 const ShareRecord* ShareHolder::PreferredHolder(const ShareDocument& aDocument,
                                                 const std::string& aKey) const
 {
   auto weight = [&](const ShareRecord& aRecord) {
     std::uint64_t demand = ValueOr0(aRecord.mDemand, aKey);
     bool holdsMost = PoolOfRecord(aRecord, aKey) > kWholePool / 2;
-    return holdsMost ? 2 * demand + 1 : demand;
+    return holdsMost ? 2 * demand + kDemandUnitsPerToken : demand;
   };
   auto preferred = std::ranges::max_element(aDocument.mRecords, {}, weight);
   return preferred == aDocument.mRecords.end() ? nullptr : &*preferred;
@@ -367,7 +378,8 @@
   }
   std::map<std::string, std::uint64_t> demand;
   for (std::size_t i = 0; i < mKeys.size(); ++i) {
-    auto hundredths = static_cast<std::uint64_t>(mDemand[i] * kDemandUnitsPerToken);
+    auto hundredths =
+      static_cast<std::uint64_t>(mDemand[i] * double(kDemandUnitsPerToken));
     if (hundredths > 0) {
       demand[mKeys[i]] = hundredths;
     }
@@ -513,7 +525,75 @@
     return false;
   }
   ApplyExpiry(aNow);
-  return mBuckets[aBudget.Value()].Take(aAmount, aNow);
+  Bucket& bucket = mBuckets[aBudget.Value()];
+  if (LoanLevel(aBudget, aNow) + bucket.Level(aNow) < aAmount) {
+    return false;
+  }
+  MicroTokens borrowed = TakeLoans(aBudget, aAmount);
+  return bucket.Take(aAmount - borrowed, aNow);
+}
+
+MicroTokens ShareHolder::Lend(BudgetId aBudget,
+                              MicroTokens aLeast,
+                              MicroTokens aMost,
+                              Instant aNow)
+{
+  if (!mConfig) {
+    return 0;
+  }
+  ApplyExpiry(aNow);
+  Bucket& bucket = mBuckets[aBudget.Value()];
+  MicroTokens reserve = bucket.CurrentRate().mBurst / kLendReserveDivisor;
+  MicroTokens spare = bucket.Level(aNow) - reserve;
+  MicroTokens extra = std::clamp(spare, aLeast, std::max(aLeast, aMost)) - aLeast;
+  MicroTokens amount = aLeast + WholeTokens(extra);
+  return bucket.Take(amount, aNow) ? amount : 0;
+}
+
+void ShareHolder::AddLoan(BudgetId aBudget,
+                          MicroTokens aAmount,
+                          Instant aUntil,
+                          Instant aNow)
+{
+  if (aUntil <= aNow || aAmount <= 0) {
+    return;
+  }
+  std::vector<Loan>& loans = mLoans[aBudget.Value()];
+  auto after = std::ranges::upper_bound(loans, aUntil, {}, &Loan::mUntil);
+  loans.insert(after, { aAmount, aUntil });
+}
+
+// Removes loans that lapsed and returns the sum of the others.
+MicroTokens ShareHolder::LoanLevel(BudgetId aBudget, Instant aNow)
+{
+  std::vector<Loan>& loans = mLoans[aBudget.Value()];
+  std::erase_if(loans, [aNow](const Loan& aLoan) { return aNow >= aLoan.mUntil; });
+  MicroTokens level = 0;
+  for (const Loan& loan : loans) {
+    level += loan.mAmount;
+  }
+  return level;
+}
+
+MicroTokens ShareHolder::TakeLoans(BudgetId aBudget, MicroTokens aAmount)
+{
+  MicroTokens taken = 0;
+  for (Loan& loan : mLoans[aBudget.Value()]) {
+    MicroTokens part = std::min(loan.mAmount, aAmount - taken);
+    loan.mAmount -= part;
+    taken += part;
+  }
+  return taken;
+}
+
+MicroTokens ShareHolder::Shortfall(BudgetId aBudget, Duration aTime, Instant aNow) const
+{
+  if (!mRecord) {
+    return 0;
+  }
+  auto demand = static_cast<MicroTokens>(mDemand[aBudget.Value()] * double(kToken));
+  MicroTokens rate = demand - ShareOf(aBudget, aNow).mPerSecond;
+  return rate <= 0 ? 0 : WholeTokens(rate * aTime.count() / kMicrosecondsPerSecond);
 }
 
 void ShareHolder::Refund(BudgetId aBudget, MicroTokens aAmount, Instant aNow)
@@ -538,18 +618,35 @@
   mRequestedTokens[aBudget.Value()] += aAmount;
 }
 
+Rate ShareHolder::HeldBy(const ShareRecord& aRecord, BudgetId aBudget) const
+{
+  Rate usable = UsableBudgetOf(mConfig->mBudgets[aBudget.Value()].mTotal).mRate;
+  Rate floor = aRecord.mFloor ? FloorOf(*mConfig, usable) : Rate{};
+  PerMille pool = PoolOfRecord(aRecord, mKeys[aBudget.Value()]);
+  return Sum(floor, Fraction(PoolOf(*mConfig, usable), pool, kWholePool));
+}
+
+MicroTokens ShareHolder::SpareRateOf(const ShareRecord& aRecord, BudgetId aBudget) const
+{
+  std::uint64_t hundredths = ValueOr0(aRecord.mDemand, mKeys[aBudget.Value()]);
+  auto demand = static_cast<MicroTokens>(hundredths * (kToken / kDemandUnitsPerToken));
+  return HeldBy(aRecord, aBudget).mPerSecond - demand;
+}
+
+bool ShareHolder::OthersMaySpare(BudgetId aBudget) const
+{
+  return std::ranges::any_of(mDocument.mRecords, [&](const ShareRecord& aRecord) {
+    return aRecord.mHolder != mSelf && SpareRateOf(aRecord, aBudget) > 0;
+  });
+}
+
 // Holders with a share above their own demand are likely to have tokens left. Each call
 // starts with the next of these, so that not all requesters empty the same bucket.
 std::vector<std::string> ShareHolder::TokenSources(BudgetId aBudget)
 {
-  const std::string& key = mKeys[aBudget.Value()];
-  Rate usable = UsableBudgetOf(mConfig->mBudgets[aBudget.Value()].mTotal).mRate;
   std::vector<TokenSource> sources;
   std::vector<std::string> addresses;
   for (const ShareRecord& record : mDocument.mRecords) {
-    Rate floor = record.mFloor ? FloorOf(*mConfig, usable) : Rate{};
-    Rate held = Sum(
-      floor, Fraction(PoolOf(*mConfig, usable), PoolOfRecord(record, key), kWholePool));
     if (record.mHolder == mSelf) {
       continue;
     }
@@ -557,12 +654,10 @@
       addresses.push_back(record.mHolder.mAddress); // also counts the demand
       continue;
     }
-    if (held.mBurst < kToken) {
+    if (HeldBy(record, aBudget).mBurst < kToken) {
       continue;
     }
-    auto demand = static_cast<MicroTokens>(ValueOr0(record.mDemand, key)) * kToken /
-                  kDemandUnitsPerToken;
-    sources.push_back({ held.mPerSecond - demand, record.mHolder.mAddress });
+    sources.push_back({ SpareRateOf(record, aBudget), record.mHolder.mAddress });
   }
   std::ranges::sort(sources, std::ranges::greater(), &TokenSource::mSpareRate);
   auto spare = static_cast<std::size_t>(std::ranges::count_if(
--- a/src/decide/share.h
+++ b/src/decide/share.h
@@ -37,8 +37,8 @@
 constexpr Duration kRenewInterval = std::chrono::seconds(2);
 // Bound on how much a clock runs fast or slow.
 constexpr int kDriftPerMille = 10;
-// Longest time from the debit of a token at its holder to its use at another instance.
-constexpr Duration kMaxTokenLife = std::chrono::milliseconds(60);
+// Longest time from the debit of a token at its holder to its use, at whichever instance.
+constexpr Duration kMaxTokenLife = std::chrono::milliseconds(120);
 
 // The lease as its holder counts it: shorter, because the holder's clock may be slow.
 constexpr Duration HolderLease(Duration aLease)
@@ -63,6 +63,20 @@
 
 UsableBudget UsableBudgetOf(Rate aTotal);
 
+// Lease of tokens that a holder lends to another instance, counted by the borrower from
+// before it asked. A borrower that is a holder may pass them on within this lease.
+constexpr Duration LoanLease(const UsableBudget& aUsable)
+{
+  return aUsable.mTokenLife * 2 / 3;
+}
+
+// Lease of tokens that an instance gets from the holder of its data centre, which may
+// have borrowed them. Together with LoanLease it is at most the life of a token.
+constexpr Duration RelayLease(const UsableBudget& aUsable)
+{
+  return aUsable.mTokenLife / 3;
+}
+
 // The record of one holder in the document.
 struct ShareRecord
 {
@@ -134,9 +148,23 @@
   // record, if it has one. No tokens can be debited after this call.
   std::optional<ShareDocument> ReleaseShares(Instant aNow);
 
-  // Takes tokens from the shares held now, for this instance or for another one that
-  // asked. Returns false if there are not enough.
+  // Takes tokens that were borrowed, then tokens of the shares held now, for this
+  // instance or for another one of its data centre. Returns false if there are not
+  // enough.
   bool Debit(BudgetId aBudget, MicroTokens aAmount, Instant aNow);
+  // Takes tokens of the shares held now for an instance that may pass them on. Returns
+  // zero if there are fewer than aLeast, otherwise from aLeast to aMost; what is given
+  // beyond aLeast leaves a reserve for the own data centre. Borrowed tokens are not lent,
+  // so that no token outlives its life.
+  MicroTokens Lend(BudgetId aBudget, MicroTokens aLeast, MicroTokens aMost, Instant aNow);
+  // Adds tokens that another holder lent. They lapse at aUntil and whenever the
+  // configuration changes.
+  void AddLoan(BudgetId aBudget, MicroTokens aAmount, Instant aUntil, Instant aNow);
+  // Tokens that the demand of this data centre needs within a duration beyond what its
+  // share refills; zero if this instance is no holder.
+  MicroTokens Shortfall(BudgetId aBudget, Duration aTime, Instant aNow) const;
+  // True if by the document another holder's share refills faster than its demand.
+  bool OthersMaySpare(BudgetId aBudget) const;
   // Returns tokens that were debited here or at another holder for a request that did not
   // run. They are lost if this instance holds no share of the budget.
   void Refund(BudgetId aBudget, MicroTokens aAmount, Instant aNow);
@@ -168,6 +196,13 @@
   std::uint64_t ReclaimCount() const { return mReclaimed; }
 
 private:
+  // Tokens that another holder lent.
+  struct Loan
+  {
+    MicroTokens mAmount = 0;
+    Instant mUntil{};
+  };
+
   // When this instance first read the current sequence of another holder's record.
   struct Observation
   {
@@ -192,6 +227,10 @@
   void ApplyExpiry(Instant aNow);
   void UpdateBucketRates(Instant aNow);
   Rate ShareOf(BudgetId aBudget, Instant aNow) const;
+  MicroTokens SpareRateOf(const ShareRecord& aRecord, BudgetId aBudget) const;
+  Rate HeldBy(const ShareRecord& aRecord, BudgetId aBudget) const;
+  MicroTokens LoanLevel(BudgetId aBudget, Instant aNow);
+  MicroTokens TakeLoans(BudgetId aBudget, MicroTokens aAmount);
   std::map<std::string, std::uint64_t> MeasuredDemand(Instant aNow);
 
   Incarnation mSelf;
@@ -199,6 +238,7 @@
   Duration mNewHolderWait;
   ConfigPtr mConfig;
   std::vector<Bucket> mBuckets;
+  std::vector<std::vector<Loan>> mLoans;     // by BudgetId, the first to lapse first
   std::vector<std::string> mKeys;            // keys of the budgets, by BudgetId
   std::vector<double> mDemand;               // tokens per second, smoothed
   std::vector<MicroTokens> mRequestedTokens; // requested since mDemandSince
--- a/src/entry/admission.h
+++ b/src/entry/admission.h
@@ -1,4 +1,5 @@
-// Waiting for tokens of fleet-wide budgets and for slots of backend servers.
+// Admission of requests: tokens of fleet-wide budgets, and slots of backend servers,
+// which requests wait for.
 #pragma once
 
 #include <map>
@@ -10,6 +11,7 @@
 
 #include "decide/fair.h"
 #include "entry/core.h"
+#include "entry/tokens.h"
 
 namespace vanillaloft::entry {
 
@@ -17,16 +19,11 @@
 {
 public:
   explicit Admission(Core& aCore)
-    : mCore(aCore)
+    : mTokens(aCore)
+    , mCore(aCore)
   {
   }
 
-  // Takes tokens of a budget from this instance's share or from another holder, and waits
-  // for them until aUntil. Returns false if none were available.
-  Awaitable<bool> TakeTokens(decide::BudgetId aBudget,
-                             decide::MicroTokens aAmount,
-                             Instant aUntil);
-
   // Takes a slot without waiting; empty if none is free or other requests are queued.
   std::optional<decide::Slot> TakeSlot(decide::ServiceId aService,
                                        decide::Origin aOrigin);
@@ -44,6 +41,8 @@
   // must also be called without a release.
   void ServeWaiters();
 
+  Tokens mTokens;
+
 private:
   struct Waiter
   {
@@ -51,19 +50,10 @@
     std::optional<decide::Slot> mSlot;
   };
 
-  Awaitable<bool> RequestTokensUnlessExhausted(std::string aKey,
-                                               decide::BudgetId aBudget,
-                                               decide::MicroTokens aAmount,
-                                               bool aFirstAttempt);
-  Awaitable<bool> RequestTokens(decide::BudgetId aBudget,
-                                decide::MicroTokens aAmount,
-                                bool aFirstAttempt);
-
   Core& mCore;
   std::map<std::string, decide::FairQueue> mQueues; // by service name
   std::map<decide::WaiterId, Waiter*> mWaiters;
   decide::WaiterId mNextWaiter = 1;
-  std::map<std::string, Instant> mExhaustedUntil; // by budget, while no holder has tokens
 };
 
 } // namespace vanillaloft::entry
--- a/src/entry/core.cc
+++ b/src/entry/core.cc
@@ -50,6 +50,11 @@
                .Name("vanillaloft_request_seconds")
                .Help("Time from arrival to answer by service.")
                .Register(*mRegistry))
+  , mLimitRefusals(prometheus::BuildCounter()
+                     .Name("vanillaloft_limit_refusals_total")
+                     .Help("Requests refused by a rate, by whether another holder may "
+                           "have had tokens.")
+                     .Register(*mRegistry))
 {
   for (const MetricRow& row : kGauges) {
     auto& family =
@@ -72,6 +77,11 @@
     .Observe(std::chrono::duration<double>(aLatency).count());
 }
 
+void Metrics::CountLimitRefusal(bool aElsewhere)
+{
+  mLimitRefusals.Add({ { "elsewhere", aElsewhere ? "yes" : "no" } }).Increment();
+}
+
 std::string Metrics::Text() const
 {
   return prometheus::TextSerializer().Serialize(mRegistry->Collect());
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -110,6 +110,9 @@
   // Counts a request by service and result and observes its latency.
   void CountRequest(const std::string& aService, Result aResult, Duration aLatency);
   void CountNotice(ServerNotice aNotice) { mNotices[std::size_t(aNotice)]->Increment(); }
+  // Counts a request beyond its organisation's rate. aElsewhere: another holder may have
+  // had tokens.
+  void CountLimitRefusal(bool aElsewhere);
   prometheus::Gauge& Gauge(const std::string& aName) { return *mGauges.at(aName); }
   std::string Text() const;
 
@@ -117,6 +120,7 @@
   std::shared_ptr<prometheus::Registry> mRegistry;
   prometheus::Family<prometheus::Counter>& mRequests;
   prometheus::Family<prometheus::Histogram>& mLatency;
+  prometheus::Family<prometheus::Counter>& mLimitRefusals;
   std::map<std::string, prometheus::Gauge*> mGauges;
   std::array<prometheus::Counter*, 2> mNotices{}; // by ServerNotice
 };
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -51,6 +52,8 @@
   decide::OrganisationId mOrganisation;
   std::string mOrganisationName;   // replaces the key in requests from peers
   decide::BudgetId mDebitedBudget; // the budget that this request took a token of
+  // Set if no token was available: whether another holder may have had one.
+  std::optional<bool> mTokensElsewhere;
   Instant mArrival{};
   Instant mDeadline{};
   CallerConnection* mCaller = nullptr; // null for requests from peers
--- a/src/entry/pipeline.cc
+++ b/src/entry/pipeline.cc
@@ -64,6 +64,15 @@
   return ranIsKnown ? aCode : Result::OutcomeUnknown;
 }
 
+// The log field of a refusal by a rate.
+const char* TokensLog(const Exchange& aExchange)
+{
+  if (!aExchange.mTokensElsewhere) {
+    return "";
+  }
+  return *aExchange.mTokensElsewhere ? "elsewhere" : "none";
+}
+
 bool MayRetry(const RequestError& aError, bool aOrder)
 {
   if (aError.Code() == Result::DeadlineBeforeStart ||
@@ -134,7 +143,7 @@
     spdlog::level::info,
     base::Event::RequestEnded,
     "request={} service={} organisation={} object={} result={} status={} took_ms={} "
-    "sends={} no_room={} registrations_ms={}",
+    "sends={} no_room={} tokens={} registrations_ms={}",
     aExchange.mRequestId,
     service,
     aExchange.OrganisationNameOr("-"),
@@ -144,6 +153,7 @@
     std::chrono::duration_cast<std::chrono::milliseconds>(latency).count(),
     aExchange.mSendLog,
     aExchange.mRefusalLog,
+    TokensLog(aExchange),
     AgeInMilliseconds(mCore.RegistrationsAge()));
 }
 
@@ -185,10 +195,13 @@
   Instant until =
     aExchange.mArrival + aExchange.mConfig->ProfileOf(aExchange.mService).mQueueTime;
   while (!budget.IsNone()) {
-    if (co_await mAdmission.TakeTokens(budget, decide::kToken, until)) {
+    if (co_await mAdmission.mTokens.Take(budget, decide::kToken, until)) {
       break;
     }
     if (aExchange.mConfig == mCore.Config()) {
+      bool elsewhere = mAdmission.mTokens.OthersMaySpare(budget);
+      aExchange.mTokensElsewhere = elsewhere;
+      mCore.mMetrics.CountLimitRefusal(elsewhere);
       throw RequestError(Result::RateExceeded);
     }
     mResolver.Resolve(aExchange);
@@ -395,7 +408,7 @@
     }
     decide::MicroTokens amount =
       spillBudget ? decide::kToken : kilobytes * decide::kToken;
-    if (!co_await mAdmission.TakeTokens(decide::BudgetId(i), amount, mCore.Now())) {
+    if (!co_await mAdmission.mTokens.Take(decide::BudgetId(i), amount, mCore.Now())) {
       co_return false;
     }
   }
--- a/src/entry/relay.cc
+++ b/src/entry/relay.cc
@@ -13,8 +13,6 @@
 constexpr std::chrono::milliseconds kHeartbeatTimeout{ 1000 };
 constexpr std::chrono::milliseconds kConfigFetchTimeout{ 2000 };
 constexpr std::size_t kAddressesPerHeartbeat = 24;
-// Largest number of micro-tokens in one request; far above what any request needs.
-constexpr std::uint64_t kMaxTokenRequest = 1ULL << 50;
 
 wire::Status ToWire(const decide::MemberStatus& aStatus)
 {
@@ -186,27 +184,7 @@
 
 Awaitable<wire::TokenReply> Relay::OnAskToken(wire::TokenRequest aRequest)
 {
-  wire::TokenReply reply;
-  if (!mCore.Config()) {
-    co_return reply;
-  }
-  const auto& budgets = mCore.Config()->mBudgets;
-  auto found = std::ranges::find_if(budgets, [&](const decide::Budget& aBudget) {
-    return decide::BudgetKey(aBudget) == aRequest.budget();
-  });
-  if (found == budgets.end()) {
-    co_return reply;
-  }
-  decide::BudgetId budget(static_cast<std::size_t>(found - budgets.begin()));
-  if (aRequest.micro_tokens() > kMaxTokenRequest) {
-    co_return reply;
-  }
-  auto amount = static_cast<decide::MicroTokens>(aRequest.micro_tokens());
-  if (aRequest.first_ask() && aRequest.data_centre() == mCore.mSettings.mDataCentre) {
-    mCore.mShares.CountDemand(budget, amount, mCore.Now());
-  }
-  reply.set_given(mCore.mShares.Debit(budget, amount, mCore.Now()));
-  co_return reply;
+  co_return co_await mTokens.Give(std::move(aRequest));
 }
 
 Awaitable<wire::ForwardReply> Relay::OnForward(wire::ForwardRequest aRequest)
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -5,6 +5,7 @@
 #include "entry/core.h"
 #include "entry/pipeline.h"
 #include "entry/replication.h"
+#include "entry/tokens.h"
 
 namespace vanillaloft::entry {
 
@@ -12,9 +13,10 @@
 class Relay final : public peer::Handler
 {
 public:
-  Relay(Core& aCore, Pipeline& aPipeline)
+  Relay(Core& aCore, Pipeline& aPipeline, Tokens& aTokens)
     : mCore(aCore)
     , mPipeline(aPipeline)
+    , mTokens(aTokens)
     , mResolver(aCore)
     , mReplication(aCore)
   {
@@ -49,6 +51,7 @@
 
   Core& mCore;
   Pipeline& mPipeline;
+  Tokens& mTokens;
   Resolver mResolver;
   bool mFetchingConfig = false;
   std::string mLastSentAddress; // the last known address in a heartbeat
--- a/tests/explore/main.cc
+++ b/tests/explore/main.cc
@@ -47,6 +47,14 @@
   auto demand = rc::gen::map(rc::gen::inRange(50, 900), [](int aRate) {
     return fmt::format("demand large orders {} a1={} b1=2 a2=1", aRate, aRate % 4 + 1);
   });
+  // 70% of the callers move to one data centre; one organisation at 7.5 times its rate.
+  auto move = rc::gen::map(
+    rc::gen::pair(rc::gen::element(220, 300, 2250),
+                  rc::gen::element<std::string>(
+                    "a1=7 a2=1 b1=1 b2=1", "b2=7 a1=1 a2=1 b1=1", "a2=7 b1=3")),
+    [](std::pair<int, std::string> aDemand) {
+      return fmt::format("demand large orders {} {}", aDemand.first, aDemand.second);
+    });
   auto order = rc::gen::map(GenInstance(), [](std::string aInstance) {
     return fmt::format("order o1 {}\norder o2 {}", aInstance, aInstance);
   });
@@ -72,6 +80,7 @@
                         rc::gen::just<std::string>("heal"),
                         store,
                         demand,
+                        move,
                         order,
                         server,
                         rc::gen::just<std::string>("race 2"),
--- a/tests/fuzz/main.cc
+++ b/tests/fuzz/main.cc
@@ -105,7 +105,7 @@
   entry::NativeFormat mFormat;
   entry::BackendClient mBackend{ mCore, mFormat };
   entry::Pipeline mPipeline{ mCore, mAdmission, mBackend };
-  entry::Relay mRelay{ mCore, mPipeline };
+  entry::Relay mRelay{ mCore, mPipeline, mAdmission.mTokens };
 
   QuietInstance() { mCore.AcceptConfig(decide::ParseConfig(kNativeConfig)); }
 
@@ -143,7 +143,9 @@
   token.set_budget("organisation:o");
   token.set_micro_tokens(1'000'000);
   token.set_data_centre("d1");
-  token.set_first_ask(true);
+  token.set_extra_micro_tokens(2'000'000);
+  token.set_demand_micro_tokens(1'000'000);
+  token.set_wait_ms(5);
   return token.SerializeAsString();
 }
 
--- a/tests/unit/decide.cc
+++ b/tests/unit/decide.cc
@@ -356,6 +356,62 @@
   CHECK_FALSE(otherAddress.HoldsFloor(kClaimStart + 1s + ReclaimDelay(kPoolLease)));
 }
 
+// Guards against organisations with a small limit that are refused while nobody holds
+// their pool: a single request elsewhere moved it.
+TEST_CASE("single requests elsewhere do not move a small pool")
+{
+  ConfigPtr config =
+    ParseConfig(WithReplacement(SmallConfig(1, 3), R"("burst":40)", R"("burst":3)"));
+  ShareHolder one = HolderAfterWait({ "d1:1", 1 }, "d1", config);
+  ShareHolder two = HolderAfterWait({ "d2:1", 2 }, "d2", config);
+  BudgetId budget = config->mOrganisations[0].mBudget;
+  MicroTokens whole =
+    UsableBudgetOf(config->mBudgets[budget.Value()].mTotal).mRate.mPerSecond;
+  ShareDocument document;
+  for (int i = 0; i < 20; ++i) {
+    Instant now = kClaimStart + i * 1s;
+    if (i % 3 == 2) {
+      (i % 2 == 0 ? two : one).CountDemand(budget, kToken, now);
+    }
+    CHECK(Renew(i % 2 == 0 ? one : two, document, now));
+    MicroTokens held =
+      one.CurrentShare(budget, now).mPerSecond + two.CurrentShare(budget, now).mPerSecond;
+    CHECK(held == whole);
+  }
+}
+
+TEST_CASE("lent tokens lapse with their lease or a configuration and are not lent again")
+{
+  ConfigPtr config = ParseConfig(SmallConfig());
+  BudgetId budget = config->mOrganisations[0].mBudget;
+  ShareHolder borrower = HolderAfterWait({ "d1:1", 1 }, "d1", config);
+  Instant lapse = kStart + 100ms;
+  borrower.AddLoan(budget, 2 * kToken, lapse, kStart);
+  CHECK(borrower.Lend(budget, kToken, kToken, kStart) == 0);
+  CHECK(borrower.Debit(budget, kToken, lapse - 1us));
+  CHECK_FALSE(borrower.Debit(budget, kToken, lapse));
+  borrower.AddLoan(budget, kToken, lapse, lapse);
+  CHECK_FALSE(borrower.Debit(budget, kToken, lapse));
+  borrower.AddLoan(budget, kToken, lapse + 1s, lapse);
+  borrower.SetConfig(ParseConfig(SmallConfig(2)), lapse);
+  CHECK_FALSE(borrower.Debit(budget, kToken, lapse));
+}
+
+TEST_CASE("a loan beyond what must be given leaves a reserve in the lender's bucket")
+{
+  ConfigPtr config = ParseConfig(SmallConfig());
+  BudgetId budget = config->mOrganisations[0].mBudget;
+  ShareHolder lender = HolderAfterWait({ "d1:1", 1 }, "d1", config);
+  ShareDocument document;
+  CHECK(Renew(lender, document, kClaimStart));
+  Instant now = kClaimStart + 2s;
+  MicroTokens burst = lender.CurrentShare(budget, now).mBurst;
+  MicroTokens lent = lender.Lend(budget, kToken, 1000 * kToken, now);
+  CHECK(lent == (burst - burst / 4) / kToken * kToken);
+  CHECK(lender.Lend(budget, kToken, 5 * kToken, now) == kToken);
+  CHECK(lender.Lend(budget, burst, burst, now) == 0);
+}
+
 TEST_CASE("a planned stop releases the whole share")
 {
   ConfigPtr config = ParseConfig(SmallConfig());
--- a/tests/world/world.cc
+++ b/tests/world/world.cc
@@ -846,8 +846,10 @@
   WaitForTokens(aNode, aRequest);
 }
 
-// Requests a token from each source in turn until one gives it. A token that arrives
-// after its lifetime is not used.
+// Requests a token from each source in turn until one gives it. A source of another data
+// centre lends a batch. The borrower uses it until the end of the longest life of a
+// token, longer than the product does, so that the check of the limits covers every
+// lease.
 void World::RequestTokens(std::size_t aNode,
                           RequestPtr aRequest,
                           std::vector<std::string> aSources,
@@ -879,8 +881,10 @@
   }
   std::size_t source = *to;
   std::uint64_t generation = node.mGeneration;
-  Duration life =
-    UsableBudgetOf(mInitialConfig->mBudgets[budget.Value()].mTotal).mTokenLife;
+  bool mates = node.mDataCentre == mNodes[source]->mDataCentre;
+  UsableBudget usable = UsableBudgetOf(mInitialConfig->mBudgets[budget.Value()].mTotal);
+  Duration lease = mates ? RelayLease(usable) : LoanLease(usable);
+  MicroTokens most = kToken + node.mShares->Shortfall(budget, lease, asked);
   ScheduleOnNode(aNode, node.mGeneration, kTokenRequestTimeout, next);
   SendToPeer(aNode, source, [=, this] {
     ShareHolder& shares = *mNodes[source]->mShares;
@@ -888,12 +892,19 @@
     if (ready && aFirst && mNodes[source]->mDataCentre == mNodes[aNode]->mDataCentre) {
       shares.CountDemand(budget, kToken, NodeNow(source));
     }
-    bool given = ready && shares.Debit(budget, kToken, NodeNow(source));
+    MicroTokens given = 0;
+    if (ready && mates) {
+      given = shares.Debit(budget, kToken, NodeNow(source)) ? kToken : 0;
+    } else if (ready) {
+      given = shares.Lend(budget, kToken, most, NodeNow(source));
+    }
     SendReply(source, aNode, generation, [=, this] {
+      ShareHolder& borrower = *mNodes[aNode]->mShares;
+      borrower.AddLoan(budget, given, asked + lease, NodeNow(aNode));
       if (*answered) {
         return;
       }
-      if (given && NodeNow(aNode) - asked <= life) {
+      if (borrower.Debit(budget, kToken, NodeNow(aNode))) {
         *answered = true;
         OnAdmitted(aNode, aRequest);
       } else {
--- a/tools/model.sh
+++ b/tools/model.sh
@@ -45,6 +45,10 @@
 for define in EARLY_RECLAIM TERM_FROM_REPLY GIVE_AFTER_WRITE USE_UNCONFIRMED NO_TERM_CHECK; do
   broken shares $define
 done
+holds loans
+for define in NO_RESERVE TERM_FROM_REPLY RELAY_FROM_REPLY NO_LAPSE_CHECK; do
+  broken loans $define
+done
 holds tickets
 for define in REMEMBER_AFTER_SEND HONOUR_FORMER RELEASE_ON_LOSS NOT_RUN_ON_LOSS; do
   broken tickets $define
