Fuzzing compares the listener's framing with a plain reader

A new target sends random changes of a connection's bytes to a listener on loopback and compares the requests that it passes on (target and body) with those of a second reader, written from RFC 9112 alone.

--- a/tests/fuzz/main.cc
+++ b/tests/fuzz/main.cc
@@ -8,6 +8,10 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <fmt/format.h>
 #include <google/protobuf/stubs/logging.h>
@@ -15,8 +19,10 @@
 #include "base/clock.h"
 #include "base/settings.h"
 #include "decide/runbook.h"
+#include "entry/listener.h"
 #include "entry/relay.h"
 #include "mutate.h"
+#include "plain_reader.h"
 #include "platform/config.h"
 #include "platform/format.h"
 #include "platform/settings.h"
@@ -84,6 +90,14 @@
   "Cookie: Vanillaloft-Affinity-Key=17\r\nVanillaloft-Deadline-Ms: 1200\r\n"
   "Authorization: Token k1\r\nContent-Length: 0\r\n\r\n";
 
+// A connection's requests with each way to tell the length of a body.
+constexpr const char* kStream =
+  "GET /a HTTP/1.1\r\nHost: a.example\r\n\r\n"
+  "POST /b HTTP/1.1\r\nContent-Length: 5\r\nX-More: 1\r\n\r\nhello"
+  "POST /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+  "5;a=b\r\nhello\r\n0\r\nX-Sum: 1\r\n\r\n"
+  "GET /d HTTP/1.1\r\nConnection: close\r\n\r\n";
+
 std::string WriteFile(const std::string& aText)
 {
   std::string path = std::filesystem::temp_directory_path() / "vanillaloft-fuzz.toml";
@@ -270,6 +284,74 @@
   }
 }
 
+// A listener on loopback that records the requests which it passes on.
+class FramingListener
+{
+public:
+  FramingListener()
+  {
+    boost::asio::ip::tcp::endpoint anyPort(boost::asio::ip::address_v4::loopback(), 0);
+    mAt = Acceptor(mInstance.mContext, anyPort).local_endpoint();
+    mListener.Open({ "127.0.0.1", mAt.port() },
+                   [this](net::Request aRequest,
+                          entry::CallerConnection&) -> entry::Awaitable<net::Response> {
+                     std::string target(entry::ToStringView(aRequest.target()));
+                     mReceived.push_back({ target, aRequest.body() });
+                     co_return net::ResponseWithStatus(200);
+                   });
+  }
+
+  std::vector<fuzz::PlainRequest> Read(const std::string& aStream)
+  {
+    mReceived.clear();
+    bool done = false;
+    boost::asio::co_spawn(
+      mInstance.mContext, Send(aStream), [&](std::exception_ptr) { done = true; });
+    mInstance.mContext.restart();
+    while (!done) {
+      mInstance.mContext.run_one();
+    }
+    return mReceived;
+  }
+
+private:
+  using Acceptor = boost::asio::ip::tcp::acceptor;
+
+  // Writes the stream while it reads the responses, so that neither side waits.
+  entry::Awaitable<void> Send(std::string aStream)
+  {
+    using boost::asio::redirect_error;
+    using boost::asio::use_awaitable;
+    boost::asio::ip::tcp::socket caller(mInstance.mContext);
+    co_await caller.async_connect(mAt, use_awaitable);
+    boost::system::error_code error;
+    co_await boost::asio::async_write(
+      caller, boost::asio::buffer(aStream), redirect_error(use_awaitable, error));
+    caller.shutdown(boost::asio::ip::tcp::socket::shutdown_send, error);
+    std::string responses;
+    co_await boost::asio::async_read(caller,
+                                     boost::asio::dynamic_buffer(responses),
+                                     redirect_error(use_awaitable, error));
+  }
+
+  QuietInstance mInstance;
+  entry::Listener mListener{ mInstance.mCore, mInstance.mFormat };
+  boost::asio::ip::tcp::endpoint mAt;
+  std::vector<fuzz::PlainRequest> mReceived;
+};
+
+// The listener passes on the same requests as a plain reader sees.
+void CompareFraming(const std::string& aText)
+{
+  static FramingListener listener;
+  std::vector<fuzz::PlainRequest> ours = listener.Read(aText);
+  std::vector<fuzz::PlainRequest> plain = fuzz::ReadPlainly(aText);
+  if (ours != plain) {
+    throw std::runtime_error(fmt::format(
+      "the listener sees {} requests, a plain reader {}", ours.size(), plain.size()));
+  }
+}
+
 struct Target
 {
   std::string mName; // also the beginning of the names of its files in the corpus
@@ -292,6 +374,7 @@
     { "request", DecodeRequest, kRequest },
     { "beat", DecodeBeat, BeatMessage() },
     { "token", DecodeToken, TokenMessage() },
+    { "framing", CompareFraming, kStream },
   };
 }
 
