--- a/src/net/framing.cc
+++ b/src/net/framing.cc
@@ -131,20 +131,17 @@
   bool validLength = std::ranges::all_of(mLengths, [&](const std::string& aLength) {
     return IsNumber(aLength) && aLength == mLengths.front();
   });
-  if (!validLength) {
+  bool mayHaveCoding = mLengths.empty() && !mIsHttp10;
+  if (!validLength || (!mCodings.empty() && !mayHaveCoding)) {
     mFault = FramingFault::Length;
-  }
-  if (!validLength || mCodings.empty()) {
     return;
   }
   bool known = std::ranges::all_of(mCodings, [](const std::string& aCoding) {
     return aCoding == kChunked || aCoding.empty();
   });
-  if (!mLengths.empty() || mIsHttp10) {
-    mFault = FramingFault::Length;
-  } else if (!known) {
+  if (!known) {
     mFault = FramingFault::UnknownCoding;
-  } else if (mCodings.size() > 1 || mCodings.front().empty()) {
+  } else if (mCodings.size() > 1 || std::ranges::count(mCodings, "") > 0) {
     mFault = FramingFault::Length;
   }
 }
