One instance of a data centre watches the store for the others

The copy of the operators' data confirms the configuration in place of a read each second. Calls are counted by kind, in a metric and event 2109. A failed watch counts against the instance's path to the store.

--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -56,6 +56,17 @@
   EventInfo{ Event::FeedRelayed,
              "feed-relayed",
              "A peer delivered changes of a part of the store before the store did." },
+  EventInfo{
+    Event::WatcherChosen,
+    "watcher-chosen",
+    "An instance, maybe this one, was chosen to watch the store for the data centre." },
+  EventInfo{ Event::WatcherRejected,
+             "watcher-rejected",
+             "The watcher did not answer, or knew less than the store; another one is "
+             "asked for some time." },
+  EventInfo{ Event::StoreCalls,
+             "store-calls",
+             "The calls to the store since the start by kind; logged every 10 s." },
   EventInfo{ Event::ShareHeld,
              "share-held",
              "The instance holds its data centre's shares of the budgets." },
--- a/src/daemon/follow.cc
+++ b/src/daemon/follow.cc
@@ -1,6 +1,7 @@
 #include "daemon/follow.h"
 
 #include "entry/background.h"
+#include "entry/replication.h"
 
 namespace vanillaloft::daemon {
 
@@ -11,16 +12,47 @@
 
 // A hanging watch cannot be told from an idle one, so each watch ends after this time and
 // is sent again.
-constexpr std::chrono::milliseconds kWatchTimeout{ 5000 };
-// Delay between two calls, so that changes close together arrive in one batch.
+constexpr std::chrono::milliseconds kOwnWatchTime{ 5000 };
+// For a watch that is to show at once how recent the copy is. It waits a little, because
+// changes often come close together.
+constexpr std::chrono::milliseconds kQuickWatchTime{ 50 };
+// Time between the starts of two calls, so that changes close together arrive in one
+// batch.
 constexpr Duration kBatchInterval = std::chrono::milliseconds(400);
+// How long the watcher may wait for news before it answers, and the time for its answer
+// to arrive.
+constexpr std::chrono::milliseconds kWatcherWait{ 600 };
+constexpr std::chrono::milliseconds kWatcherSlack{ 500 };
+// Shortest time between two calls to the watcher.
+constexpr Duration kWatcherCallInterval = std::chrono::milliseconds(20);
 // After a failed call.
 constexpr Duration kRetryInterval = std::chrono::milliseconds(150);
 constexpr int kConfirmCheckMs = 300;  // between two checks of the confirmation's age
 constexpr int kConfirmJitterMs = 300; // random addition, so that reads spread out
+// After a read while the watcher's copy should confirm the configuration.
+constexpr Duration kSharedConfirmInterval = std::chrono::seconds(2);
 // Shortest time between two log lines about failures, because every retry may fail.
 constexpr Duration kFailureLogInterval = std::chrono::seconds(1);
 
+decide::CopyLimits LimitsOf(store::StoreSection aSection)
+{
+  return aSection == store::StoreSection::Registrations ? decide::kRegistrationLimits
+                                                        : decide::kOperatorDataLimits;
+}
+
+std::chrono::milliseconds WaitOf(decide::FollowStep aStep,
+                                 const decide::CopyLimits& aLimits)
+{
+  switch (aStep) {
+    case decide::FollowStep::WatchForSelf:
+      return kOwnWatchTime;
+    case decide::FollowStep::WatchForOthers:
+      return std::chrono::floor<std::chrono::milliseconds>(aLimits.mWatchTime);
+    default:
+      return kQuickWatchTime;
+  }
+}
+
 long long Milliseconds(Duration aTime)
 {
   return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
@@ -46,27 +78,106 @@
 Awaitable<void> Follower::FollowPrefix(store::StoreSection aSection, std::string aPrefix)
 {
   store::Replica& replica = mCore.ReplicaOf(aSection);
-  PrefixState state{ replica, std::move(aPrefix) };
+  PrefixState state{
+    aSection, replica, std::move(aPrefix), decide::FollowPlan(LimitsOf(aSection))
+  };
   for (;;) {
-    Duration delay = kBatchInterval;
-    bool isListing = !replica.HasListing() || state.mHistoryCompacted;
-    FeedCall call{ isListing, mCore.Now(), replica.AsOf() };
-    try {
-      std::size_t items = co_await CallFeed(state, call);
-      RecordSuccess(state, call, items);
-    } catch (const store::HistoryCompacted& error) {
-      mCore.SetStoreAvailable(true);
-      RecordFailure(state, call, error.what());
-      state.mHistoryCompacted = true;
-      delay = Duration::zero();
-    } catch (const std::exception& error) {
-      RecordFailure(state, call, error.what());
-      delay = kRetryInterval;
+    Duration delay{};
+    decide::FollowStep step = NextStep(state);
+    std::string watcher = mWatcherAddress;
+    bool hadCopy = replica.HasListing();
+    if (step == decide::FollowStep::AskWatcher) {
+      delay = co_await CallWatcher(state, watcher);
+    } else {
+      delay = co_await CallStore(state, WaitOf(step, state.mPlan.Limits()));
+    }
+    bool storeAnsweredInstead =
+      step == decide::FollowStep::AskStore && hadCopy && state.mFailures == 0;
+    if (storeAnsweredInstead && watcher != mCore.Self().mAddress) {
+      RejectWatcher(watcher, "its copy was too old");
     }
     co_await mCore.Sleep(delay);
   }
 }
 
+bool Follower::IsShared() const
+{
+  std::size_t mates = mCore.mMembers.WatcherCandidates(mCore.Now()).size();
+  return mates >= decide::kMinMatesToShare;
+}
+
+decide::FollowStep Follower::NextStep(PrefixState& aState)
+{
+  Instant now = mCore.Now();
+  bool eligible = !mCore.mLeaving && !mCore.mStorePath.Lost(now);
+  std::string watcher =
+    mWatcher.Update(mCore.mMembers.WatcherCandidates(now), eligible, now);
+  if (IsShared() && watcher != mWatcherAddress) {
+    Log(spdlog::level::info, Event::WatcherChosen, "watcher={}", watcher);
+  }
+  mWatcherAddress = watcher;
+  return aState.mPlan.Next(
+    IsShared(), watcher == mCore.Self().mAddress, mCore.ReplicaAge(aState.mSection), now);
+}
+
+// Changes close together arrive in one batch, because calls start kBatchInterval apart.
+Awaitable<Duration> Follower::CallStore(PrefixState& aState,
+                                        std::chrono::milliseconds aWait)
+{
+  bool isListing = !aState.mReplica.HasListing() || aState.mHistoryCompacted;
+  FeedCall call{ isListing, aWait, mCore.Now(), aState.mReplica.AsOf() };
+  try {
+    std::size_t items = co_await CallFeed(aState, call);
+    RecordSuccess(aState, call, items);
+    aState.mPlan.StoreAnswered();
+    mCore.NotifyReplicaNews(aState.mSection);
+    ConfirmConfigFromReplica();
+  } catch (const store::HistoryCompacted& error) {
+    mCore.SetStoreAvailable(true);
+    RecordFailure(aState, call, error.what());
+    aState.mHistoryCompacted = true;
+    co_return Duration::zero();
+  } catch (const std::exception& error) {
+    RecordFailure(aState, call, error.what());
+    mCore.mStorePath.RecordFailure();
+    aState.mPlan.StoreFailed(mCore.Now());
+    co_return kRetryInterval;
+  }
+  Duration sinceCall = mCore.Now() - call.mRequestedAt;
+  co_return std::max(kBatchInterval - sinceCall, Duration::zero());
+}
+
+// A call with a shortened timeout proves nothing about the watcher; the store is asked
+// next.
+Awaitable<Duration> Follower::CallWatcher(PrefixState& aState, std::string aWatcher)
+{
+  constexpr std::chrono::milliseconds kFullTimeout = kWatcherWait + kWatcherSlack;
+  Instant calledAt = mCore.Now();
+  auto timeout = std::chrono::ceil<std::chrono::milliseconds>(
+    aState.mPlan.WatcherTimeout(mCore.ReplicaAge(aState.mSection), kFullTimeout));
+  bool answered = false;
+  try {
+    answered =
+      co_await entry::FetchItems(mCore, aWatcher, aState.mSection, kWatcherWait, timeout);
+  } catch (const peer::PeerError& error) {
+    spdlog::debug("the watcher {} did not answer: {}", aWatcher, error.what());
+  }
+  Duration took = mCore.Now() - calledAt;
+  if (answered) {
+    ConfirmConfigFromReplica();
+  } else if (took < timeout || timeout == kFullTimeout) {
+    RejectWatcher(aWatcher, "no answer");
+  }
+  co_return std::max(kWatcherCallInterval - took, Duration::zero());
+}
+
+void Follower::RejectWatcher(const std::string& aWatcher, const char* aCause)
+{
+  Log(
+    spdlog::level::info, Event::WatcherRejected, "watcher={} cause={}", aWatcher, aCause);
+  mWatcher.Reject(aWatcher, mCore.Now());
+}
+
 // A watch starts after the replica's current revision, whether the replica got it from
 // the store or from a peer. The result counts as of the time of the request, because the
 // time at which the store created the response is not known.
@@ -82,7 +193,7 @@
     aState.mHistoryCompacted = false;
   } else {
     items = co_await mFeed.WatchChanges(
-      aState.mPrefix, replica.Position().mCompleteRevision, kWatchTimeout);
+      aState.mPrefix, replica.Position().mCompleteRevision, aCall.mWait);
     mCore.SetStoreAvailable(true);
     changed = replica.ApplyChanges(items, aCall.mRequestedAt);
   }
@@ -150,8 +261,15 @@
 
 void Follower::ApplyItem(const store::Item& aItem)
 {
-  std::visit([this](const auto& aDecoded) { ApplyDecoded(aDecoded); },
-             mDecoder.Decode(aItem));
+  bool isConfig = aItem.mKey == mDecoder.ConfigKey();
+  if (isConfig) {
+    mReplicaConfig = nullptr; // stays so if the item cannot be decoded
+  }
+  DecodedItem decoded = mDecoder.Decode(aItem);
+  if (const auto* config = std::get_if<decide::ConfigPtr>(&decoded); isConfig && config) {
+    mReplicaConfig = *config;
+  }
+  std::visit([this](const auto& aDecoded) { ApplyDecoded(aDecoded); }, decoded);
 }
 
 void Follower::ApplyDecoded(const decide::ConfigPtr& aConfig)
@@ -243,31 +361,50 @@
 }
 
 // Reads the configuration from the store when the last confirmation is too old. Peers
-// relay their confirmations, so while the store is available few instances read it.
+// relay their confirmations, so while the store is available few instances read it, and
+// none in a data centre whose watcher's copy confirms the configuration.
 Awaitable<void> Follower::ConfirmConfigLoop()
 {
   for (;;) {
-    if (mCore.ConfirmedAge() >= mCore.mMembers.MaxConfirmAge(mCore.Now())) {
-      co_await ConfirmConfigOnce();
-    }
     int jitterMs = static_cast<int>(mRandom() % kConfirmJitterMs);
     co_await mCore.Sleep(std::chrono::milliseconds(kConfirmCheckMs + jitterMs));
+    bool shared = IsShared();
+    Duration maxAge =
+      shared ? decide::kMaxSharedConfirmAge : mCore.mMembers.MaxConfirmAge(mCore.Now());
+    if (mCore.ConfirmedAge() >= maxAge) {
+      co_await ConfirmConfigOnce();
+      co_await mCore.Sleep(shared ? kSharedConfirmInterval : Duration::zero());
+    }
+  }
+}
+
+// The replica of the operators' data is complete as of its time, so it confirms the
+// configuration that it contains as of then.
+void Follower::ConfirmConfigFromReplica()
+{
+  std::optional<Duration> age = mCore.ReplicaAge(store::StoreSection::OperatorData);
+  if (age && mReplicaConfig && IsInForce(*mReplicaConfig)) {
+    mCore.ConfirmRevision(*age);
   }
 }
 
-// Applies the store's configuration. Returns true if it or a newer one is in force.
-// Otherwise the one in force may contain a key that the store's no longer has.
+// True if the configuration or a newer one is in force. Otherwise the one in force may
+// contain a key that the other no longer has.
+bool Follower::IsInForce(const decide::Config& aConfig) const
+{
+  const decide::ConfigPtr& current = mCore.Config();
+  return current &&
+         (current->mRevision > aConfig.mRevision || current->mDigest == aConfig.mDigest);
+}
+
+// Applies the store's configuration. Returns true if it or a newer one is in force, which
+// may have arrived while the store was being read.
 bool Follower::ApplyConfig(const store::Item& aItem)
 {
   DecodedItem decoded = mDecoder.Decode(aItem);
   const auto* config = std::get_if<decide::ConfigPtr>(&decoded);
   std::visit([this](const auto& aDecoded) { ApplyDecoded(aDecoded); }, decoded);
-  if (!config || !mCore.Config()) {
-    return false;
-  }
-  // A newer revision may have arrived while the store was being read.
-  return mCore.Config()->mRevision > (*config)->mRevision ||
-         mCore.Config()->mDigest == (*config)->mDigest;
+  return config && IsInForce(**config);
 }
 
 // The confirmation counts from the time before the read was sent.
--- a/src/daemon/follow.h
+++ b/src/daemon/follow.h
@@ -1,5 +1,6 @@
 // Keeps an instance's configuration, evacuations and backend server registrations in step
-// with what operators and backend servers write to the platform's store.
+// with what operators and backend servers write to the platform's store. In a data centre
+// with several instances one watches the store and the others watch that one.
 #pragma once
 
 #include <optional>
@@ -66,6 +67,7 @@
     , mStore(aStore)
     , mFeed(aFeed)
     , mDecoder(aDecoder)
+    , mWatcher(aCore.Self().mAddress)
   {
   }
 
@@ -76,8 +78,10 @@
   // State of following one key prefix.
   struct PrefixState
   {
+    store::StoreSection mSection;
     store::Replica& mReplica;
     std::string mPrefix;
+    decide::FollowPlan mPlan;
     bool mHistoryCompacted = false; // a new listing is required
     unsigned mFailures = 0;         // consecutive failed calls
     Instant mFailureLoggedAt{};     // time of the last failure line in the log
@@ -86,11 +90,20 @@
   struct FeedCall
   {
     bool mIsListing; // false: a watch for changes
+    std::chrono::milliseconds mWait{};
     Instant mRequestedAt;
     std::optional<Instant> mReplicaAsOf; // AsOf() of the replica at mRequestedAt
   };
 
   Awaitable<void> FollowPrefix(store::StoreSection aSection, std::string aPrefix);
+  // Chooses the next step for a prefix and the watcher of the data centre.
+  decide::FollowStep NextStep(PrefixState& aState);
+  // Each makes one call, logs its result and returns the time until the next step.
+  Awaitable<Duration> CallStore(PrefixState& aState, std::chrono::milliseconds aWait);
+  Awaitable<Duration> CallWatcher(PrefixState& aState, std::string aWatcher);
+  void RejectWatcher(const std::string& aWatcher, const char* aCause);
+  // True if one instance of the data centre watches for all.
+  bool IsShared() const;
   // Makes the call and applies its result. Returns the number of items received. Throws
   // StoreError.
   Awaitable<std::size_t> CallFeed(PrefixState& aState, FeedCall aCall);
@@ -102,6 +115,8 @@
   Awaitable<void> DeregisterAfterGrace(std::string aId, Duration aGrace);
   void ApplyItems(const std::vector<store::Item>& aItems);
   void ApplyItem(const store::Item& aItem);
+  void ConfirmConfigFromReplica();
+  bool IsInForce(const decide::Config& aConfig) const;
   bool ApplyConfig(const store::Item& aItem);
   void ApplyDecoded(const decide::ConfigPtr& aConfig);
   void ApplyDecoded(const decide::Registration& aRegistration);
@@ -113,6 +128,9 @@
   store::Store& mStore;
   store::ChangeFeed& mFeed;
   const ItemDecoder& mDecoder;
+  decide::WatcherChoice mWatcher;
+  std::string mWatcherAddress;      // last choice
+  decide::ConfigPtr mReplicaConfig; // in the replica; null if it cannot be decoded
   std::minstd_rand mRandom{ std::random_device{}() };
 };
 
--- a/src/daemon/loops.cc
+++ b/src/daemon/loops.cc
@@ -26,6 +26,7 @@
 constexpr Duration kConflictRetryInterval = std::chrono::milliseconds(50);
 constexpr Duration kInstanceListInterval = std::chrono::seconds(10);
 constexpr Duration kAnnounceInterval = store::kAnnouncementTtl / 3;
+constexpr Duration kStoreCallsLogInterval = std::chrono::seconds(10);
 constexpr int kReleaseAttempts = 5;
 
 } // namespace
@@ -38,6 +39,7 @@
   { "configuration", &Loops::WatchConfigLoop, true },
   { "shares", &Loops::RenewSharesLoop, false },
   { "instances", &Loops::ReadInstancesLoop, false },
+  { "store-calls", &Loops::LogStoreCallsLoop, false },
 };
 
 void Loops::Start(ConfigSource aConfigSource)
@@ -336,13 +338,23 @@
   for (;;) {
     try {
       co_await mStore.Announce(self);
+      mCore.mStorePath.RecordAnswer(mCore.Now());
     } catch (const store::StoreError& error) {
+      mCore.mStorePath.RecordFailure();
       spdlog::debug("failed to announce this instance: {}", error.what());
     }
     co_await mCore.Sleep(kAnnounceInterval);
   }
 }
 
+Awaitable<void> Loops::LogStoreCallsLoop()
+{
+  for (;;) {
+    co_await mCore.Sleep(kStoreCallsLogInterval);
+    Log(spdlog::level::info, Event::StoreCalls, "{}", mCore.mMetrics.StoreCallsText());
+  }
+}
+
 Duration Loops::LongestLookUpTtl() const
 {
   Duration longest{};
--- a/src/daemon/loops.h
+++ b/src/daemon/loops.h
@@ -77,6 +77,7 @@
   Awaitable<void> ReleaseShares();
   Awaitable<void> ReadInstancesLoop();
   Awaitable<void> AnnounceLoop();
+  Awaitable<void> LogStoreCallsLoop();
   Duration LongestLookUpTtl() const;
   Instant AcceptDeadline() const;
   void LogLostPeers();
--- a/src/decide/member.cc
+++ b/src/decide/member.cc
@@ -193,6 +193,18 @@
   return std::ranges::includes(alive, known);
 }
 
+std::vector<WatcherCandidate> Members::WatcherCandidates(Instant aNow) const
+{
+  std::vector<WatcherCandidate> candidates;
+  for (const Member* member : AliveMembers(aNow)) {
+    const MemberStatus& status = member->mStatus;
+    if (status.mDataCentre == mDataCentre && !status.mLeaving) {
+      candidates.push_back({ status.mSelf.mAddress, status.mHasStorePath });
+    }
+  }
+  return candidates;
+}
+
 bool Members::IsFirstInDataCentre(Instant aNow) const
 {
   return std::ranges::none_of(AliveMembers(aNow), [&](const Member* aMember) {
--- a/src/decide/member.h
+++ b/src/decide/member.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "decide/config.h"
+#include "decide/watcher.h"
 
 namespace vanillaloft::decide {
 
@@ -24,6 +25,8 @@
 // the longer time if no confirmation arrives.
 constexpr Duration kMaxConfirmAge = std::chrono::milliseconds(1000);
 constexpr Duration kMaxConfirmAgeFallback = std::chrono::milliseconds(2500);
+// In a data centre whose watcher's copy of the store confirms the configuration.
+constexpr Duration kMaxSharedConfirmAge = std::chrono::milliseconds(2500);
 
 // The status of an instance, as sent in each of its heartbeats.
 struct MemberStatus
@@ -36,7 +39,8 @@
   std::uint64_t mAddressDigest = 0;
   bool mReady = false;
   bool mLeaving = false;
-  bool mHoldsShares = false; // other instances may ask it for tokens
+  bool mHoldsShares = false;  // other instances may ask it for tokens
+  bool mHasStorePath = false; // the store answers its own calls
   Revision mRevision = 0;
   std::string mDigest;
   Duration mConfirmedAge = Duration::max();     // since the store confirmed the revision
@@ -96,6 +100,8 @@
   std::vector<std::string> HeartbeatTargets() const;
   // True if an alive member is known in each data centre that has any known address.
   bool EveryDataCentreAlive(Instant aNow) const;
+  // Alive instances of this data centre that stay, other than this one.
+  std::vector<WatcherCandidate> WatcherCandidates(Instant aNow) const;
   // True if no alive instance of this data centre that stays has a lower address.
   bool IsFirstInDataCentre(Instant aNow) const;
   // The age of the store's confirmation at which this instance asks for another one.
--- a/src/entry/core.cc
+++ b/src/entry/core.cc
@@ -67,6 +67,29 @@
       prometheus::BuildCounter().Name(row.mName).Help(row.mHelp).Register(*mRegistry);
     mNotices[i] = &family.Add({});
   }
+  auto& storeCalls = prometheus::BuildCounter()
+                       .Name("vanillaloft_store_calls_total")
+                       .Help("Calls to the platform's store by kind.")
+                       .Register(*mRegistry);
+  for (std::size_t kind = 0; kind < mStoreCalls.size(); ++kind) {
+    mStoreCalls[kind] =
+      &storeCalls.Add({ { "kind", std::string(store::kCallKindNames[kind]) } });
+  }
+}
+
+void Metrics::CountStoreCall(store::CallKind aKind)
+{
+  mStoreCalls[static_cast<std::size_t>(aKind)]->Increment();
+}
+
+std::string Metrics::StoreCallsText() const
+{
+  std::string text;
+  for (std::size_t kind = 0; kind < mStoreCalls.size(); ++kind) {
+    text +=
+      fmt::format("{}={:.0f} ", store::kCallKindNames[kind], mStoreCalls[kind]->Value());
+  }
+  return text;
 }
 
 void Metrics::CountRequest(const std::string& aService, Result aResult, Duration aLatency)
@@ -175,6 +198,9 @@
 {
   if (aAvailable) {
     RecordStoreAnswer(Now());
+    mStorePath.RecordAnswer(Now());
+  } else {
+    mStorePath.RecordFailure();
   }
   if (aAvailable == mStoreAvailable) {
     return;
@@ -187,9 +213,13 @@
 
 Duration Core::RegistrationsAge() const
 {
-  const std::optional<Instant>& asOf =
-    ReplicaOf(store::StoreSection::Registrations).AsOf();
-  return asOf ? Now() - *asOf : Duration::max();
+  return ReplicaAge(store::StoreSection::Registrations).value_or(Duration::max());
+}
+
+std::optional<Duration> Core::ReplicaAge(store::StoreSection aSection) const
+{
+  const std::optional<Instant>& asOf = ReplicaOf(aSection).AsOf();
+  return asOf ? std::optional(Now() - *asOf) : std::nullopt;
 }
 
 double Core::RetryBudgetCap() const
@@ -212,6 +242,7 @@
   status.mReady = IsReady();
   status.mLeaving = mLeaving;
   status.mHoldsShares = mShares.IsHolder();
+  status.mHasStorePath = mStorePath.Confirmed(Now());
   status.mRevision = Config() ? Config()->mRevision : 0;
   status.mDigest = Config() ? Config()->mDigest : "";
   status.mConfirmedAge = ConfirmedAge();
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -28,7 +28,9 @@
 #include "decide/share.h"
 #include "decide/steer.h"
 #include "decide/ticket.h"
+#include "entry/signal.h"
 #include "peer/peer.h"
+#include "store/calls.h"
 #include "store/replica.h"
 
 namespace vanillaloft::entry {
@@ -113,6 +115,9 @@
   // Counts a request beyond its organisation's rate. aElsewhere: another holder may have
   // had tokens.
   void CountLimitRefusal(bool aElsewhere);
+  void CountStoreCall(store::CallKind aKind);
+  // The store calls so far by kind, as "list=1 watch=2 ...".
+  std::string StoreCallsText() const;
   prometheus::Gauge& Gauge(const std::string& aName) { return *mGauges.at(aName); }
   std::string Text() const;
 
@@ -123,6 +128,7 @@
   prometheus::Family<prometheus::Counter>& mLimitRefusals;
   std::map<std::string, prometheus::Gauge*> mGauges;
   std::array<prometheus::Counter*, 2> mNotices{}; // by ServerNotice
+  std::array<prometheus::Counter*, store::kCallKindNames.size()> mStoreCalls{};
 };
 
 class Core
@@ -180,6 +186,14 @@
     return mReplicas[static_cast<std::size_t>(aSection)];
   }
 
+  // Wakes the peers that wait for news of the section's replica.
+  void NotifyReplicaNews(store::StoreSection aSection)
+  {
+    mReplicaNews[static_cast<std::size_t>(aSection)].NotifyAll();
+  }
+
+  // Age of a section's replica; none before its first listing.
+  std::optional<Duration> ReplicaAge(store::StoreSection aSection) const;
   // Age of the known registrations of backend servers; Duration::max() if they were never
   // read.
   Duration RegistrationsAge() const;
@@ -207,6 +221,9 @@
   std::array<store::Replica, store::kStoreSectionCount> mReplicas;
   // Called with the changed items of a section; empty while nothing is followed.
   std::function<void(const std::vector<store::Item>&)> mOnItemsChanged;
+  // Signalled when the replica of a section got changes or a confirmation.
+  std::array<Signal, store::kStoreSectionCount> mReplicaNews;
+  decide::StorePath mStorePath;
   bool mStoreAvailable = false;
   unsigned mRequestsInFlight = 0;
 
--- a/src/entry/relay.cc
+++ b/src/entry/relay.cc
@@ -26,6 +26,7 @@
   status.set_ready(aStatus.mReady);
   status.set_leaving(aStatus.mLeaving);
   status.set_holds_shares(aStatus.mHoldsShares);
+  status.set_store_path(aStatus.mHasStorePath);
   status.set_revision(aStatus.mRevision);
   status.set_digest(aStatus.mDigest);
   if (aStatus.mConfirmedAge != Duration::max()) {
@@ -50,6 +51,7 @@
   status.mReady = aStatus.ready();
   status.mLeaving = aStatus.leaving();
   status.mHoldsShares = aStatus.holds_shares();
+  status.mHasStorePath = aStatus.store_path();
   status.mRevision = aStatus.revision();
   status.mDigest = aStatus.digest();
   if (aStatus.has_confirmed_age_ms()) {
@@ -179,7 +181,7 @@
 
 Awaitable<wire::ItemsReply> Relay::OnFetchItems(wire::ItemsRequest aRequest)
 {
-  co_return mReplication.BuildItemsReply(aRequest);
+  co_return co_await mReplication.AnswerItemsRequest(std::move(aRequest));
 }
 
 Awaitable<wire::TokenReply> Relay::OnAskToken(wire::TokenRequest aRequest)
--- a/src/entry/replication.cc
+++ b/src/entry/replication.cc
@@ -20,6 +20,8 @@
 // sooner than this, or by a peer that has their tombstones. After it, all items are
 // fetched.
 constexpr Duration kUnconfirmedFetchDelay = std::chrono::seconds(6);
+// Longest time for which a request for items may wait here.
+constexpr std::chrono::milliseconds kMaxItemsWait{ 5000 };
 
 store::Item FromWire(const wire::Item& aItem)
 {
@@ -34,8 +36,63 @@
   return { aReach.complete(), aReach.changed(), tombstonesFrom };
 }
 
+// The age that the peer gives is that at its reply, whose time is not known, but it is
+// not before the request and the time that the peer waited.
+void ApplyItemsReply(Core& aCore,
+                     store::StoreSection aSection,
+                     const std::string& aAddress,
+                     const wire::ItemsReply& aReply,
+                     Instant aRequestedAt)
+{
+  store::ReplicaDelta delta;
+  delta.mIsFullListing = aReply.whole();
+  delta.mBatch.mRevision = aReply.complete();
+  for (const wire::Item& item : aReply.items()) {
+    delta.mBatch.mItems.push_back(FromWire(item));
+  }
+  Instant asOf = aRequestedAt + peer::TimeFromWire(aReply.waited_ms()) -
+                 peer::TimeFromWire(aReply.age_ms());
+  asOf = std::min(asOf, aCore.Now());
+  aCore.RecordStoreAnswer(asOf);
+  std::vector<store::Item> changes = aCore.ReplicaOf(aSection).ApplyDelta(delta, asOf);
+  if (aReply.items_size() > 0) {
+    base::Log(spdlog::level::info,
+              base::Event::FeedRelayed,
+              "part={} peer={} items={} news={} whole={} revision={} age_ms={}",
+              static_cast<unsigned>(aSection),
+              aAddress,
+              aReply.items_size(),
+              changes.size(),
+              aReply.whole(),
+              aReply.complete(),
+              aReply.age_ms());
+  }
+  aCore.mOnItemsChanged(changes);
+  aCore.NotifyReplicaNews(aSection);
+}
+
 } // namespace
 
+Awaitable<bool> FetchItems(Core& aCore,
+                           std::string aAddress,
+                           store::StoreSection aSection,
+                           std::chrono::milliseconds aWait,
+                           std::chrono::milliseconds aTimeout)
+{
+  wire::ItemsRequest request;
+  request.set_part(static_cast<std::uint32_t>(aSection));
+  request.set_complete(aCore.ReplicaOf(aSection).Position().mCompleteRevision);
+  request.set_wait_ms(static_cast<std::uint64_t>(aWait.count()));
+  Instant requestedAt = aCore.Now();
+  wire::ItemsReply reply =
+    co_await aCore.mPeers.FetchItems(aAddress, std::move(request), aTimeout);
+  if (!reply.listed()) {
+    co_return false;
+  }
+  ApplyItemsReply(aCore, aSection, aAddress, reply, requestedAt);
+  co_return true;
+}
+
 void Replication::ReportReplicas(wire::Status& aStatus) const
 {
   for (std::size_t section = 0; section < store::kStoreSectionCount; ++section) {
@@ -93,49 +150,14 @@
   }
 }
 
-void Replication::ApplyItemsReply(store::StoreSection aSection,
-                                  const std::string& aAddress,
-                                  const wire::ItemsReply& aReply,
-                                  Instant aRequestedAt)
-{
-  if (!aReply.listed()) {
-    return;
-  }
-  store::ReplicaDelta delta;
-  delta.mIsFullListing = aReply.whole();
-  delta.mBatch.mRevision = aReply.complete();
-  for (const wire::Item& item : aReply.items()) {
-    delta.mBatch.mItems.push_back(FromWire(item));
-  }
-  Instant asOf = aRequestedAt - peer::TimeFromWire(aReply.age_ms());
-  std::vector<store::Item> changes = mCore.ReplicaOf(aSection).ApplyDelta(delta, asOf);
-  base::Log(spdlog::level::info,
-            base::Event::FeedRelayed,
-            "part={} peer={} items={} news={} whole={} revision={} age_ms={}",
-            static_cast<unsigned>(aSection),
-            aAddress,
-            aReply.items_size(),
-            changes.size(),
-            aReply.whole(),
-            aReply.complete(),
-            aReply.age_ms());
-  mCore.mOnItemsChanged(changes);
-}
-
 Awaitable<void> Replication::FetchItemsFrom(std::string aAddress,
                                             store::StoreSection aSection)
 {
-  store::Replica& replica = mCore.ReplicaOf(aSection);
   Lag& lag = mLags[static_cast<std::size_t>(aSection)];
   lag.mFetching = true;
-  wire::ItemsRequest request;
-  request.set_part(static_cast<std::uint32_t>(aSection));
-  request.set_complete(replica.Position().mCompleteRevision);
-  Instant requestedAt = mCore.Now();
   try {
-    wire::ItemsReply reply =
-      co_await mCore.mPeers.FetchItems(aAddress, std::move(request), kItemsFetchTimeout);
-    ApplyItemsReply(aSection, aAddress, reply, requestedAt);
+    co_await FetchItems(
+      mCore, aAddress, aSection, std::chrono::milliseconds(0), kItemsFetchTimeout);
   } catch (const std::exception& error) {
     // The next heartbeat of a peer that has more changes retries.
     spdlog::debug("items not fetched from {}: {}", aAddress, error.what());
@@ -144,6 +166,22 @@
   lag.mSince = mCore.Now();
 }
 
+Awaitable<wire::ItemsReply> Replication::AnswerItemsRequest(
+  wire::ItemsRequest aRequest) const
+{
+  Instant arrivedAt = mCore.Now();
+  wire::ItemsReply reply = BuildItemsReply(aRequest);
+  if (aRequest.wait_ms() == 0 || !reply.listed() || reply.items_size() > 0) {
+    co_return reply;
+  }
+  auto wait = std::min(peer::TimeFromWire(aRequest.wait_ms()), kMaxItemsWait);
+  co_await mCore.mReplicaNews[aRequest.part()].Wait(mCore.mContext, wait);
+  reply = BuildItemsReply(aRequest);
+  auto waited = std::chrono::floor<std::chrono::milliseconds>(mCore.Now() - arrivedAt);
+  reply.set_waited_ms(static_cast<std::uint64_t>(waited.count()));
+  co_return reply;
+}
+
 wire::ItemsReply Replication::BuildItemsReply(const wire::ItemsRequest& aRequest) const
 {
   wire::ItemsReply reply;
--- a/src/entry/replication.h
+++ b/src/entry/replication.h
@@ -9,6 +9,15 @@
 
 namespace vanillaloft::entry {
 
+// Fetches from a peer the changes that this instance's replica of a section lacks, and
+// applies them. aWait: how long the peer may wait for some if it has none. Returns false
+// if the peer has no replica yet. Throws peer::PeerError.
+Awaitable<bool> FetchItems(Core& aCore,
+                           std::string aAddress,
+                           store::StoreSection aSection,
+                           std::chrono::milliseconds aWait,
+                           std::chrono::milliseconds aTimeout);
+
 class Replication
 {
 public:
@@ -25,7 +34,10 @@
   void HandlePeerStatus(const peer::wire::Status& aStatus,
                         std::optional<Instant> aRequestedAt);
   // Returns the changes behind the revision up to which the peer's replica is complete.
-  peer::wire::ItemsReply BuildItemsReply(const peer::wire::ItemsRequest& aRequest) const;
+  // If there are none, waits for news of this instance's replica as long as the peer
+  // allows.
+  Awaitable<peer::wire::ItemsReply> AnswerItemsRequest(
+    peer::wire::ItemsRequest aRequest) const;
 
 private:
   // Changes that a peer has and this instance lacks.
@@ -37,10 +49,7 @@
   };
 
   Awaitable<void> FetchItemsFrom(std::string aAddress, store::StoreSection aSection);
-  void ApplyItemsReply(store::StoreSection aSection,
-                       const std::string& aAddress,
-                       const peer::wire::ItemsReply& aReply,
-                       Instant aRequestedAt);
+  peer::wire::ItemsReply BuildItemsReply(const peer::wire::ItemsRequest& aRequest) const;
   // The replica must have been listed.
   std::uint64_t AgeInMs(const store::Replica& aReplica) const;
 
--- a/tests/unit/daemon.cc
+++ b/tests/unit/daemon.cc
@@ -1,10 +1,13 @@
 // Unit tests of src/daemon: instances that follow a store, all in one process.
 #include <doctest/doctest.h>
 
+#include <array>
+#include <set>
 #include <thread>
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <fmt/ranges.h>
 
 #include "canned.h"
 #include "daemon/follow.h"
@@ -81,6 +84,7 @@
 
   Awaitable<store::ItemBatch> List(std::string aPrefix) override
   {
+    ++mFeedCalls;
     co_await SimulateRoundTrip();
     store::ItemBatch items = ItemsAfter(aPrefix, 0);
     std::erase_if(items.mItems, [](const store::Item& aItem) { return aItem.mDeleted; });
@@ -90,6 +94,7 @@
                                            std::uint64_t aAfter,
                                            std::chrono::milliseconds aWait) override
   {
+    ++mFeedCalls;
     for (std::chrono::milliseconds waited{}; waited < aWait; waited += kPollInterval) {
       co_await SimulateRoundTrip();
       store::ItemBatch items = ItemsAfter(aPrefix, aAfter);
@@ -100,6 +105,8 @@
     co_return ItemsAfter(aPrefix, aAfter);
   }
 
+  unsigned mFeedCalls = 0; // listings and watches
+
 private:
   Awaitable<void> SimulateRoundTrip() const
   {
@@ -258,8 +265,135 @@
   }
 };
 
+// Three instances of one data centre. The first has the lowest address.
+struct InstanceTrio
+{
+  std::array<std::string, 3> mAddresses{ FreeAddress(), FreeAddress(), FreeAddress() };
+  StoreContent mContent;
+  std::vector<std::unique_ptr<FollowingInstance>> mInstances;
+  std::set<std::size_t> mFrozen; // indexes of instances that do not run
+
+  InstanceTrio()
+  {
+    std::ranges::sort(mAddresses);
+    std::string seeds = fmt::format("{}@d1", fmt::join(mAddresses, "@d1,"));
+    seeds.resize(seeds.size() - std::string("@d1").size());
+    for (const std::string& address : mAddresses) {
+      mInstances.push_back(std::make_unique<FollowingInstance>(mContent, address, seeds));
+    }
+    mContent.Write("servers/i-1", "ready");
+  }
+
+  entry::Core& CoreOf(std::size_t aIndex) { return mInstances[aIndex]->mInstance.mCore; }
+  unsigned FeedCalls(std::size_t aIndex)
+  {
+    return mInstances[aIndex]->mStore->mFeedCalls;
+  }
+
+  // Runs the instances that are not frozen until the condition holds. Returns false if it
+  // does not hold within aMost.
+  template<typename Condition>
+  bool RunUntil(Condition aCondition, std::chrono::milliseconds aMost = 20s)
+  {
+    auto end = std::chrono::steady_clock::now() + aMost;
+    while (!aCondition()) {
+      if (std::chrono::steady_clock::now() > end) {
+        return false;
+      }
+      for (std::size_t i = 0; i < mInstances.size(); ++i) {
+        if (!mFrozen.contains(i)) {
+          mInstances[i]->mInstance.mContext.run_for(3ms);
+        }
+      }
+    }
+    return true;
+  }
+
+  // Runs until the two others follow the first.
+  bool Settle()
+  {
+    unsigned callsBefore = 0;
+    auto settled = [&] {
+      unsigned calls = FeedCalls(1) + FeedCalls(2);
+      return calls == std::exchange(callsBefore, calls) &&
+             mInstances[1]->HasServer("i-1");
+    };
+    return RunUntil([&] {
+      RunUntil([] { return false; }, 2s);
+      return settled();
+    });
+  }
+
+  ~InstanceTrio()
+  {
+    mFrozen.clear();
+    bool closed = false;
+    std::thread closer([&] {
+      for (auto& instance : mInstances) {
+        instance->mInstance.mPeerServer.Close();
+      }
+      asio::post(mInstances[0]->mInstance.mContext, [&] { closed = true; });
+    });
+    RunUntil([&] { return closed; });
+    closer.join();
+  }
+};
+
 } // namespace
 
+// Guards against a price of store calls that grows with the number of instances: each
+// watched every change for itself.
+TEST_CASE("one of three instances watches the store, and the others learn at once")
+{
+  InstanceTrio trio;
+  REQUIRE(trio.Settle());
+  unsigned watcherCalls = trio.FeedCalls(0);
+  unsigned otherCalls = trio.FeedCalls(1) + trio.FeedCalls(2);
+  trio.mContent.Write("servers/i-1", "draining");
+  trio.mContent.Write("operators/d1", "");
+  CHECK(trio.RunUntil([&] {
+    return trio.mInstances[1]->IsLeavingOrGone("i-1") &&
+           trio.mInstances[2]->IsLeavingOrGone("i-1") &&
+           trio.CoreOf(2).mFleet.IsEvacuated("d1");
+  }));
+  CHECK(trio.FeedCalls(0) > watcherCalls);
+  CHECK(trio.FeedCalls(1) + trio.FeedCalls(2) == otherCalls);
+}
+
+// Guards against requests to a server that has left because the watcher, alone or with
+// the one that would take over, hears nothing of the store.
+TEST_CASE("the others learn of changes though watchers are frozen or cut from the store")
+{
+  InstanceTrio trio;
+  REQUIRE(trio.Settle());
+  SUBCASE("the watcher is frozen")
+  {
+    trio.mFrozen = { 0 };
+  }
+  SUBCASE("the watcher and the next one are frozen")
+  {
+    trio.mFrozen = { 0, 1 };
+  }
+  SUBCASE("the store does not answer the watcher")
+  {
+    trio.mInstances[0]->mCut = true;
+  }
+  SUBCASE("the store answers only one that does not watch")
+  {
+    trio.mInstances[0]->mCut = true;
+    trio.mInstances[1]->mCut = true;
+  }
+  SUBCASE("the watcher is cut from the store and the next one frozen")
+  {
+    trio.mInstances[0]->mCut = true;
+    trio.mFrozen = { 1 };
+  }
+  trio.mContent.Write("servers/i-1", "draining");
+  CHECK(trio.RunUntil([&] { return trio.mInstances[2]->IsLeavingOrGone("i-1"); }));
+  trio.mFrozen.clear();
+  CHECK(trio.RunUntil([&] { return trio.mInstances[0]->IsLeavingOrGone("i-1"); }));
+}
+
 // Guards against requests to a server that has left: an instance that was cut off from
 // the store kept the registrations as they were before the cut.
 TEST_CASE("an instance cut off from the store learns from peers that a server leaves")
