The time of a request is forecast where servers report their pace

Cause: room is counted in requests; a warm one, a cold one and a long runner weigh the same, and the fourth figure of the load report (how long work takes on that machine now) was not read.

A send's log entry says what was expected and what came; vanillaloft_forecast_ratio has the error by service and route. Nothing changes for servers without the figure, and the choice of the server stays as it is.

"the fourth figure of a load report is the pace" could not be compiled before, since the figure was dropped.

--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -101,6 +101,9 @@
              "backend-server-pause",
              "A backend server refused a request and asked for a pause; one that cannot "
              "be read is ignored." },
+  EventInfo{ Event::LoadFigureUnreadable,
+             "load-figure-unreadable",
+             "A backend server reported its pace in an unreadable form; logged once." },
   EventInfo{ Event::RunbookStep, "runbook-step", "A runbook advanced by a step." },
   EventInfo{ Event::RunbookWaits,
              "runbook-waits",
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -45,6 +45,7 @@
   AnswerSkipped = 5004,
   BackendServerLeaving = 5005,
   BackendServerPause = 5006,
+  LoadFigureUnreadable = 5007,
   RunbookStep = 6001,
   RunbookWaits = 6002,
   RunbookEnded = 6003,
--- a/src/decide/fleet.cc
+++ b/src/decide/fleet.cc
@@ -346,6 +346,59 @@
   return mShiftLimiter.MayLeave(aRanking.mUsualRemoteFraction, aNow) ? remote : nearest;
 }
 
+bool Fleet::ForecastsWork(ServiceId aService) const
+{
+  return mConfig && !aService.IsNone() &&
+         mPacedServices.contains(mConfig->mServices[aService.Value()].mName);
+}
+
+Familiarity Fleet::FamiliarityOf(const Candidate& aCandidate,
+                                 const Ranking& aRanking,
+                                 const PlacementQuery& aQuery,
+                                 Instant aNow)
+{
+  if (HasAffinity(*aCandidate.mServer, aRanking.mObject, aNow)) {
+    return Familiarity::Recent;
+  }
+  if (aQuery.mTried.empty() && &aCandidate == &aRanking.mCandidates.front()) {
+    return Familiarity::Home;
+  }
+  return aCandidate.mLocality == Locality::OtherRegion ? Familiarity::Foreign
+                                                       : Familiarity::Copy;
+}
+
+// Returns the expected wait and work of a request, or nothing if the service's servers do
+// not report their pace or the route is unknown.
+std::optional<Flight> Fleet::ForecastAt(const Candidate& aCandidate,
+                                        const Ranking& aRanking,
+                                        const PlacementQuery& aQuery,
+                                        Instant aNow) const
+{
+  if (!ForecastsWork(aQuery.mService)) {
+    return std::nullopt;
+  }
+  const Server& server = *aCandidate.mServer;
+  Flight flight;
+  flight.mClass = { aQuery.mRoute,
+                    FamiliarityOf(aCandidate, aRanking, aQuery, aNow),
+                    aQuery.mBodyBytes };
+  std::optional<Duration> usual = mWorkForecast.Expect(flight.mClass);
+  if (!usual) {
+    return std::nullopt;
+  }
+  double pace = std::max(server.mPace.At(aNow),
+                         server.mPace.Usual() * server.mBacklog.OverdueRatio(aNow));
+  flight.mWork = std::chrono::duration_cast<Duration>(Seconds(*usual) * pace);
+  flight.mSentAt = aNow;
+  unsigned slots = server.mRegistration.mSlots;
+  double others = OtherInstancesLoad(server, aNow);
+  if (!HasFreeSlot(server, aNow)) {
+    others = std::max(others, double(slots) - server.mInFlight);
+  }
+  flight.mWait = server.mBacklog.WaitForSlot(slots, others, flight.mWork, aNow);
+  return flight;
+}
+
 ServerChoice Fleet::Choose(const PlacementQuery& aQuery, Instant aNow)
 {
   if (!mConfig || aQuery.mConfig != mConfig) {
@@ -406,12 +459,23 @@
                                           : NoServerReason::AllFull,
              {} };
   }
+  std::optional<Flight> forecast = ForecastAt(*selected, aRanking, aQuery, aNow);
+  ServerChoice choice{ selected->mServer, NoServerReason::NoCandidate, {} };
+  choice.mFlight.mClass = { aQuery.mRoute,
+                            FamiliarityOf(*selected, aRanking, aQuery, aNow),
+                            aQuery.mBodyBytes };
+  choice.mFlight.mSentAt = aNow;
   Server& server = *selected->mServer;
+  if (forecast) {
+    choice.mFlight = *forecast;
+    choice.mFlight.mNumber = mNextFlight++;
+    server.mBacklog.Add(choice.mFlight);
+  }
   ++server.mInFlight;
   TakeWarmUpToken(server, aNow);
   RecordAffinity(server, aRanking.mObject, aNow);
   mShiftLimiter.Count(selected->mLocality == Locality::OtherRegion, aNow);
-  return { selected->mServer, NoServerReason::NoCandidate, {} };
+  return choice;
 }
 
 void Fleet::RecordLeaving(const ServerPtr& aServer, Instant aNow)
@@ -480,12 +544,40 @@
   aServer->mMeanOtherLoad +=
     kReportSmoothing * (aServer->mOtherLoad - aServer->mMeanOtherLoad);
   aServer->mReportedAt = aNow;
+  if (aLoad.mPace) {
+    aServer->mPace.Report(*aLoad.mPace, aNow);
+    mPacedServices.insert(aServer->mRegistration.mService);
+  }
 }
 
-void Fleet::RecordResult(const ServerPtr& aServer, SendResult aResult, Instant aNow)
+// Compares an answer with its forecast and updates what later forecasts rest on.
+void Fleet::LearnWork(Server& aServer, const Flight& aFlight, Instant aNow)
+{
+  if (!mPacedServices.contains(aServer.mRegistration.mService)) {
+    return;
+  }
+  Duration took = aNow - aFlight.mSentAt;
+  Duration work = std::max(took - aFlight.mWait, took / 2);
+  Seconds atUsualPace = Seconds(work) / aServer.mPace.Reported(aNow);
+  if (auto expected = mWorkForecast.Expect(aFlight.mClass)) {
+    aServer.mPace.Observe(atUsualPace / Seconds(*expected), aNow);
+  }
+  mWorkForecast.Learn(
+    aFlight.mClass,
+    std::chrono::duration_cast<Duration>(atUsualPace / aServer.mPace.Usual()));
+}
+
+void Fleet::RecordResult(const ServerPtr& aServer,
+                         SendResult aResult,
+                         Instant aNow,
+                         const Flight& aFlight)
 {
   Server& server = *aServer;
   --server.mInFlight;
+  server.mBacklog.Remove(aFlight.mNumber, aResult == SendResult::Answered);
+  if (aResult == SendResult::Answered && aFlight.mClass.mRoute != 0) {
+    LearnWork(server, aFlight, aNow);
+  }
   if (aResult == SendResult::Cancelled || aResult == SendResult::Paused) {
     return;
   }
--- a/src/decide/fleet.h
+++ b/src/decide/fleet.h
@@ -14,6 +14,7 @@
 
 #include "base/settings.h"
 #include "decide/config.h"
+#include "decide/cost.h"
 #include "decide/member.h"
 #include "decide/notice.h"
 #include "decide/ramp.h"
@@ -47,6 +48,8 @@
   unsigned mRunning = 0;
   unsigned mWaiting = 0;
   unsigned mSlots = 0;
+  // How long work takes on the server's machine at this moment; 1 is as usual.
+  std::optional<double> mPace = {};
 };
 
 // Outcome of one request to a backend server.
@@ -80,6 +83,8 @@
   Instant mSuspectUntil{};      // until then ranked after other servers
   Duration mMeanResponseTime{}; // moving average; zero: no response yet
   unsigned mInFlight = 0;       // from this instance
+  Pace mPace;
+  Backlog mBacklog; // of the requests in mInFlight that have a forecast
   Bucket mWarmUpBucket;
   // Time of this instance's last request for an object, by the object's hash.
   std::unordered_map<std::uint64_t, Instant> mLastSentByObject;
@@ -101,7 +106,9 @@
   std::vector<RegionId> mRouteHomes; // both lists apply; an empty list allows all regions
   std::vector<RegionId> mOrganisationHomes;
   std::vector<const Server*> mTried;
-  bool mMaySpill = false; // may use a candidate without affinity for the object
+  bool mMaySpill = false;     // may use a candidate without affinity for the object
+  std::uint64_t mRoute = 0;   // hash of the route, for the forecast of its work
+  std::size_t mBodyBytes = 0; // of the request
 };
 
 // Reason why no server was chosen.
@@ -117,6 +124,7 @@
   ServerPtr mServer; // null: none
   NoServerReason mReason = NoServerReason::NoCandidate;
   Instant mPausedUntil{}; // with AllPaused: when the first pause ends
+  Flight mFlight = {};    // forecast of the request at the chosen server
 };
 
 // State of one candidate for an object, as a placement uses it.
@@ -168,7 +176,11 @@
   // The state of a query's candidates, best first.
   std::vector<CandidateState> DescribeCandidates(const PlacementQuery& aQuery,
                                                  Instant aNow);
-  void RecordResult(const ServerPtr& aServer, SendResult aResult, Instant aNow);
+  // aFlight is that of the ServerChoice.
+  void RecordResult(const ServerPtr& aServer,
+                    SendResult aResult,
+                    Instant aNow,
+                    const Flight& aFlight = {});
   // Updates the load estimate from a report that came with a response. Has to be called
   // before RecordResult, since it subtracts the request itself from those in flight.
   void RecordLoad(const ServerPtr& aServer,
@@ -196,6 +208,9 @@
   {
     return !IsLeaving(aServer) && !IsPaused(aServer, aNow);
   }
+  // True if the service's servers report their pace. The time of its requests is then
+  // forecast.
+  bool ForecastsWork(ServiceId aService) const;
 
   const std::map<std::string, ServerPtr>& Servers() const { return mServers; }
 
@@ -242,6 +257,15 @@
   const Candidate* SelectCandidate(const Ranking& aRanking,
                                    const PlacementQuery& aQuery,
                                    Instant aNow);
+  static Familiarity FamiliarityOf(const Candidate& aCandidate,
+                                   const Ranking& aRanking,
+                                   const PlacementQuery& aQuery,
+                                   Instant aNow);
+  std::optional<Flight> ForecastAt(const Candidate& aCandidate,
+                                   const Ranking& aRanking,
+                                   const PlacementQuery& aQuery,
+                                   Instant aNow) const;
+  void LearnWork(Server& aServer, const Flight& aFlight, Instant aNow);
   Locality LocalityOf(const Server& aServer) const;
   Ranking RankServers(const PlacementQuery& aQuery, Instant aNow) const;
   const Ranking& RankingOf(const PlacementQuery& aQuery, Instant aNow);
@@ -255,6 +279,9 @@
   std::map<std::string, ServerPtr> mServers; // by registered name
   std::set<std::string> mEvacuated;          // names of data centres
   ServerNotices mNotices;
+  std::set<std::string> mPacedServices; // names of those whose servers report a pace
+  WorkForecast mWorkForecast;
+  std::uint64_t mNextFlight = 1;
   ShiftLimiter mShiftLimiter;
   // Rankings for the current servers. They are kept, because ranking takes time in
   // proportion to the number of servers and a request may ask several times.
--- a/src/entry/core.cc
+++ b/src/entry/core.cc
@@ -1,5 +1,7 @@
 #include "entry/core.h"
 
+#include <algorithm>
+
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -13,6 +15,10 @@
   0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2
 };
 
+const prometheus::Histogram::BucketBoundaries kForecastRatios = {
+  0.25, 0.5, 0.7, 0.85, 1, 1.2, 1.5, 2, 4, 8
+};
+
 struct MetricRow
 {
   const char* mName;
@@ -55,6 +61,10 @@
                      .Help("Requests refused by a rate, by whether another holder may "
                            "have had tokens.")
                      .Register(*mRegistry))
+  , mForecast(prometheus::BuildHistogram()
+                .Name("vanillaloft_forecast_ratio")
+                .Help("Time of a request at its server as a multiple of the forecast.")
+                .Register(*mRegistry))
 {
   for (const MetricRow& row : kGauges) {
     auto& family =
@@ -105,6 +115,16 @@
   mLimitRefusals.Add({ { "elsewhere", aElsewhere ? "yes" : "no" } }).Increment();
 }
 
+void Metrics::ObserveForecast(const std::string& aService,
+                              const std::string& aRoute,
+                              Duration aExpected,
+                              Duration aActual)
+{
+  mForecast.Add({ { "service", aService }, { "route", aRoute } }, kForecastRatios)
+    .Observe(double(aActual.count()) /
+             double(std::max<Duration::rep>(1, aExpected.count())));
+}
+
 std::string Metrics::Text() const
 {
   return prometheus::TextSerializer().Serialize(mRegistry->Collect());
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -118,6 +118,11 @@
   void CountStoreCall(store::CallKind aKind);
   // The store calls so far by kind, as "list=1 watch=2 ...".
   std::string StoreCallsText() const;
+  // Observes the ratio of a request's time at a server to its forecast. Neither is zero.
+  void ObserveForecast(const std::string& aService,
+                       const std::string& aRoute,
+                       Duration aExpected,
+                       Duration aActual);
   prometheus::Gauge& Gauge(const std::string& aName) { return *mGauges.at(aName); }
   std::string Text() const;
 
@@ -126,6 +131,7 @@
   prometheus::Family<prometheus::Counter>& mRequests;
   prometheus::Family<prometheus::Histogram>& mLatency;
   prometheus::Family<prometheus::Counter>& mLimitRefusals;
+  prometheus::Family<prometheus::Histogram>& mForecast;
   std::map<std::string, prometheus::Gauge*> mGauges;
   std::array<prometheus::Counter*, 2> mNotices{}; // by ServerNotice
   std::array<prometheus::Counter*, store::kCallKindNames.size()> mStoreCalls{};
--- a/src/entry/direct.cc
+++ b/src/entry/direct.cc
@@ -5,6 +5,8 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "decide/hash.h"
+
 namespace vanillaloft::entry {
 
 namespace asio = boost::asio;
@@ -37,6 +39,13 @@
   return std::min(aExchange.mArrival + wait, aExchange.mDeadline);
 }
 
+// Identifies a route's requests to one of its services.
+std::uint64_t RouteHash(const Exchange& aExchange)
+{
+  const decide::Route& route = aExchange.MatchedRoute();
+  return decide::HashOf(route.mHost + route.mPath + "\n" + aExchange.ServiceName());
+}
+
 unsigned PriorityOf(const Exchange& aExchange)
 {
   unsigned routePriority = aExchange.MatchedRoute().mPriority;
@@ -112,6 +121,8 @@
     query.mOrganisationHomes =
       aExchange.mConfig->mOrganisations[aExchange.mOrganisation.Value()].mHomes;
   }
+  query.mRoute = RouteHash(aExchange);
+  query.mBodyBytes = aExchange.mBody.size();
   for (const decide::ServerPtr& server : aAttempts.mServers) {
     query.mTried.push_back(server.get());
   }
@@ -134,13 +145,13 @@
 // Records the end of a send, after which a leaving server needs no connections, and wakes
 // all requests that wait for the service, the most
 // urgent first.
-void DirectPlacement::EndSend(const decide::ServerPtr& aServer, SendResult aResult)
+void DirectPlacement::EndSend(const decide::ServerChoice& aChoice, SendResult aResult)
 {
-  mCore.mFleet.RecordResult(aServer, aResult, mCore.Now());
-  if (mCore.mFleet.IsLeaving(*aServer)) {
-    mBackend.CloseIdle(aServer->Id());
+  mCore.mFleet.RecordResult(aChoice.mServer, aResult, mCore.Now(), aChoice.mFlight);
+  if (mCore.mFleet.IsLeaving(*aChoice.mServer)) {
+    mBackend.CloseIdle(aChoice.mServer->Id());
   }
-  auto waiters = mWaiters.find(aServer->mRegistration.mService);
+  auto waiters = mWaiters.find(aChoice.mServer->mRegistration.mService);
   if (waiters == mWaiters.end()) {
     return;
   }
@@ -183,8 +194,8 @@
   }
 }
 
-Awaitable<decide::ServerPtr> DirectPlacement::ChooseServer(Exchange& aExchange,
-                                                           const Attempts& aAttempts)
+Awaitable<decide::ServerChoice> DirectPlacement::ChooseServer(Exchange& aExchange,
+                                                              const Attempts& aAttempts)
 {
   Instant until = CapacityWaitEnd(aExchange);
   for (;;) {
@@ -193,7 +204,7 @@
     query.mMaySpill = mCore.Now() >= until;
     decide::ServerChoice choice = mCore.mFleet.Choose(query, mCore.Now());
     if (choice.mServer) {
-      co_return choice.mServer;
+      co_return choice;
     }
     bool allPaused =
       choice.mReason == decide::NoServerReason::AllPaused && choice.mPausedUntil > until;
@@ -211,15 +222,16 @@
 }
 
 Awaitable<decide::Outcome> DirectPlacement::SendTo(Exchange& aExchange,
-                                                   decide::ServerPtr aServer,
+                                                   decide::ServerChoice aChoice,
                                                    Attempts& aAttempts)
 {
-  const decide::Registration& registration = aServer->mRegistration;
+  const decide::ServerPtr& server = aChoice.mServer;
+  const decide::Registration& registration = server->mRegistration;
   BackendTarget target{ registration.mId, registration.mAddress, [&] {
-                         return mCore.mFleet.MaySend(*aServer, mCore.Now());
+                         return mCore.mFleet.MaySend(*server, mCore.Now());
                        } };
   ++aAttempts.mSends;
-  aAttempts.mServers.push_back(aServer);
+  aAttempts.mServers.push_back(server);
   Instant sent = mCore.Now();
   ServerAnswer answer;
   std::optional<RequestError> failure;
@@ -229,23 +241,29 @@
   } catch (const RequestError& error) {
     failure = error;
   } catch (...) {
-    EndSend(aServer, SendResult::Cancelled);
+    EndSend(aChoice, SendResult::Cancelled);
     throw;
   }
-  LogSend(aExchange, *aServer, sent, answer);
+  LogSend(aExchange, aChoice, sent, answer);
   if (failure) {
-    EndSend(aServer, ClassifyFailure(*failure, aExchange));
+    EndSend(aChoice, ClassifyFailure(*failure, aExchange));
     throw RequestError(*failure);
   }
   if (answer.mLoad) {
-    mCore.mFleet.RecordLoad(aServer, *answer.mLoad, mCore.Now() - sent, mCore.Now());
+    mCore.mFleet.RecordLoad(server, *answer.mLoad, mCore.Now() - sent, mCore.Now());
   }
-  RecordNotices(aServer, answer);
+  RecordNotices(server, answer);
   ClassifiedAnswer classified = ClassifyAnswer(answer);
-  EndSend(aServer, classified.mResult);
+  EndSend(aChoice, classified.mResult);
   if (classified.mCode != Result::Ok) {
     throw RequestError(classified.mCode);
   }
+  if (aChoice.mFlight.mWork > Duration::zero()) {
+    mCore.mMetrics.ObserveForecast(aExchange.ServiceName(),
+                                   aExchange.MatchedRoute().mPath,
+                                   aChoice.mFlight.Expected(),
+                                   mCore.Now() - sent);
+  }
   if (answer.mServerFailed) {
     aAttempts.mFailure = answer.mOutcome;
   }
@@ -253,9 +271,9 @@
 }
 
 // Appends "server@data-centre:waited-ms:took-ms:running+waiting/slots" for each send,
-// with the load that the server reported.
+// with the load that the server reported, and ":expected-ms" if the time was forecast.
 void DirectPlacement::LogSend(Exchange& aExchange,
-                              const decide::Server& aServer,
+                              const decide::ServerChoice& aChoice,
                               Instant aSent,
                               const ServerAnswer& aAnswer) const
 {
@@ -265,13 +283,17 @@
   decide::LoadReport load = aAnswer.mLoad.value_or(decide::LoadReport());
   aExchange.mSendLog += fmt::format("{}{}@{}:{}:{}:{}+{}/{}",
                                     aExchange.mSendLog.empty() ? "" : ",",
-                                    aServer.Id(),
-                                    aServer.mRegistration.mDataCentre,
+                                    aChoice.mServer->Id(),
+                                    aChoice.mServer->mRegistration.mDataCentre,
                                     waited.count(),
                                     took.count(),
                                     load.mRunning,
                                     load.mWaiting,
                                     load.mSlots);
+  if (aChoice.mFlight.mWork > Duration::zero()) {
+    auto expected = std::chrono::duration_cast<milliseconds>(aChoice.mFlight.Expected());
+    aExchange.mSendLog += fmt::format(":{}", expected.count());
+  }
 }
 
 // Appends "server@data-centre:in-flight+others/slots:report-age-ms" for each server that
@@ -328,8 +350,8 @@
     bool refused = false; // by the configuration in force
     decide::Outcome outcome;
     try {
-      decide::ServerPtr server = co_await ChooseServer(aExchange, attempts);
-      outcome = co_await SendTo(aExchange, std::move(server), attempts);
+      decide::ServerChoice choice = co_await ChooseServer(aExchange, attempts);
+      outcome = co_await SendTo(aExchange, std::move(choice), attempts);
     } catch (const ResolveError& error) {
       code = error.Code();
       refused = true;
--- a/src/entry/direct.h
+++ b/src/entry/direct.h
@@ -47,19 +47,19 @@
     }
   };
 
-  Awaitable<decide::ServerPtr> ChooseServer(Exchange& aExchange,
-                                            const Attempts& aAttempts);
+  Awaitable<decide::ServerChoice> ChooseServer(Exchange& aExchange,
+                                               const Attempts& aAttempts);
   Awaitable<void> WaitForCapacity(const Exchange& aExchange, Instant aUntil);
   Awaitable<decide::Outcome> SendTo(Exchange& aExchange,
-                                    decide::ServerPtr aServer,
+                                    decide::ServerChoice aChoice,
                                     Attempts& aAttempts);
   void LogSend(Exchange& aExchange,
-               const decide::Server& aServer,
+               const decide::ServerChoice& aChoice,
                Instant aSent,
                const ServerAnswer& aAnswer) const;
   void LogRefusal(Exchange& aExchange, const decide::PlacementQuery& aQuery) const;
   void RecordNotices(const decide::ServerPtr& aServer, const ServerAnswer& aAnswer);
-  void EndSend(const decide::ServerPtr& aServer, decide::SendResult aResult);
+  void EndSend(const decide::ServerChoice& aChoice, decide::SendResult aResult);
   bool MayRetry(const Exchange& aExchange, const Attempts& aAttempts, Result aCode);
   decide::PlacementQuery QueryOf(const Exchange& aExchange,
                                  const Attempts& aAttempts) const;
--- a/tests/unit/platform.cc
+++ b/tests/unit/platform.cc
@@ -317,6 +317,19 @@
   }
 }
 
+TEST_CASE("the fourth figure of a load report is the pace, and an odd one is ignored")
+{
+  platform::PlatformFormat format;
+  net::Response response = ServerResponse(http::status::ok);
+  response.set("Vanillaloft-Server-Load", "3,1,8,250");
+  CHECK(format.FromServer(response).mLoad->mPace == 2.5);
+  for (const char* text : { "3,1,8", "3,1,8,", "3,1,8,x", "3,1,8,0", "3,1,8,-5" }) {
+    response.set("Vanillaloft-Server-Load", text);
+    REQUIRE(format.FromServer(response).mLoad);
+    CHECK_FALSE(format.FromServer(response).mLoad->mPace);
+  }
+}
+
 TEST_CASE("a forwarded request contains no hop-by-hop fields and no API key")
 {
   platform::PlatformFormat format;
