Test: the idle connection to a server that leaves is closed

The connection that brought the word is closed when the send ends. Connections to servers that leave by the store alone still close only when a send to them ends.

--- a/tests/unit/entry_backend.cc
+++ b/tests/unit/entry_backend.cc
@@ -1,4 +1,6 @@
 // Unit tests of calls to backend servers that do not keep to the protocol.
+#include <filesystem>
+
 #include <doctest/doctest.h>
 
 #include <fmt/format.h>
@@ -253,3 +255,28 @@
   Exchange second = fixture.MakeExchange("2");
   CHECK(PlaceLookup(fixture, direct, second) == Result::Ok);
 }
+
+namespace {
+
+std::ptrdiff_t OpenDescriptors()
+{
+  return std::distance(std::filesystem::directory_iterator("/proc/self/fd"), {});
+}
+
+} // namespace
+
+// Guards against descriptors that servers which left use up.
+TEST_CASE("the idle connection to a server that says it leaves is closed")
+{
+  Fixture fixture;
+  std::string leaving = Response("200 OK\r\nX-Draining: 1", "1", "ok");
+  test::ScriptedServer server(fixture.mContext, { leaving });
+  fixture.Register("i-1", "d1", server.Address());
+  DirectPlacement direct(fixture.mCore, fixture.mBackend);
+  std::ptrdiff_t before = OpenDescriptors();
+  Exchange exchange = fixture.MakeExchange("1");
+  CHECK(PlaceLookup(fixture, direct, exchange) == Result::Ok);
+  fixture.mContext.restart();
+  fixture.mContext.run_for(50ms);
+  CHECK(OpenDescriptors() == before);
+}
