--- a/tests/unit/entry.cc
+++ b/tests/unit/entry.cc
@@ -392,6 +392,28 @@
   CHECK(server.Received().empty());
 }
 
+// Guards against BUDGET: a request that was chosen before the pause and is still
+// connecting. The caller learns the end of the pause.
+TEST_CASE("a server that is paused during connection setup gets no request")
+{
+  Fixture fixture;
+  DirectPlacement direct(fixture.mCore, fixture.mBackend);
+  Pipeline pipeline(fixture.mCore, fixture.mAdmission, fixture.mBackend, &direct);
+  test::CannedServer server(fixture.mContext, kOkResponse);
+  fixture.AddServer("i-1", "s", server.Address(), 4);
+  decide::ServerPtr paused = fixture.mCore.mFleet.Servers().at("i-1");
+  boost::asio::post(fixture.mContext, [&] {
+    boost::asio::post(fixture.mContext, [&] {
+      fixture.mCore.mFleet.RecordPause(paused, 8s, fixture.mClock.Now());
+    });
+  });
+  decide::Outcome outcome =
+    test::RunCoroutine(fixture.mContext, pipeline.Serve(fixture.ResolvedLookup("/open")));
+  CHECK(outcome.mResult == Result::NoBackendServer);
+  CHECK(outcome.mRetryAfter >= 8s);
+  CHECK(server.Received().empty());
+}
+
 // Guards against a request that runs at another service (ROUTE): the indexes of a waiting
 // request were used with the tables of a newer configuration, which has another order.
 TEST_CASE("a request that waits for capacity keeps its service when services are added")
