Tests: crowds that hold one instance's memory and descriptors

Change: tools/memory.sh plays eight crowds (tests/memory/crowd.py) against one real instance on loopback whose settings allow 128 MB and 4096 (once 256) descriptors. A case checks that the process lives, that an ordinary request is answered beside the crowd, and that VmHWM and the open descriptors stay under these bounds. No times, no shares. The backend stand-in answers with as many bytes as a request asks for.

Crowd and bounds are fixed with this commit.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
   ninja-build python3 spin strace
 PACKAGES = $(BUILD_PACKAGES) $(TEST_PACKAGES)
 
-.PHONY: build install-packages demo test unit scenarios model explore fuzz process bench capacity asan \
+.PHONY: build install-packages demo test unit scenarios model explore fuzz process memory bench capacity asan \
   tsan format check-format check-co-await tidy packages package-lists inventory
 
 # Installs only missing packages, so that a repeated run is safe and needs no network. Recommended packages
@@ -55,6 +55,9 @@
 fuzz: build
 	@$(BUILD)/tests/fuzz --inputs $(or $(INPUTS),20000) --seed $(or $(SEED),1)
 
+memory: build
+	@BUILD=$(BUILD) tools/memory.sh
+
 process: build
 	@BUILD=$(BUILD) tools/process.sh
 
--- a/tests/standins/backend.cc
+++ b/tests/standins/backend.cc
@@ -7,9 +7,12 @@
 // lag (load reports are frozen), report (load reports are current again), leaving (each
 // answer says that the server leaves) and pause (refuses and asks for a pause).
 //
+// A query with bytes=NUMBER asks for an answer of that size.
+//
 // GET /log returns a line for each request that ran: idempotency key, organisation,
 // target. GET /load returns the load report, GET /overruns the number of requests above
 // the slots.
+#include <algorithm>
 #include <iostream>
 #include <map>
 
@@ -106,9 +109,10 @@
     ++mInFlight;
     co_await Sleep(ServiceTime());
     --mInFlight;
-    net::Response response = Reply(200,
-                                   "answer to " + aTarget + " of " +
-                                     std::string(aRequest["X-Organisation"]) + "\n");
+    std::string text =
+      "answer to " + aTarget + " of " + std::string(aRequest["X-Organisation"]) + "\n";
+    text.resize(std::max<std::size_t>(text.size(), QueryNumber(aTarget, "bytes=")));
+    net::Response response = Reply(200, std::move(text));
     response.set(http::field::content_type, "text/plain");
     response.set("X-Request-Id", mFault == "crossed" ? "another" : id);
     if (mDraining) {
