One account of the bytes that messages hold, and limits on connections

Change: decide/memory is the account (pure): who may grow, who has stalled, who makes the least progress for its bytes. entry/memory connects it with sockets: a connection asks before each read and pauses while there is no room; stalled ones end at once, after a pause of 1 s the slowest. What still arrives gets 503 memory-full with Retry-After (not sent to any server), an answer's connection is closed, a request in service is never ended for room. A holder that is alone may always grow. Answers of servers are read within the same account. A body is sent from where the request holds it, without the copy for each send. Buffers of idle connections are given back, large blocks go back to the system. Callers, look-ups and operators have limits on connections; at the limit the one without a request for the longest time is closed.

Events 7101, 7102, result 410, four gauges.

Not in the account yet: bodies that are forwarded between instances over gRPC (native interface), the kernel's buffers; idle connections to servers have no common limit.

Unit tests of base, decide, net, platform, entry and daemon pass. The address sanitizer was not run.

--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -116,6 +116,14 @@
   EventInfo{ Event::RequestBroken,
              "request-broken",
              "An unexpected error ended a request; the text gives the error." },
+  EventInfo{ Event::MemoryFull,
+             "memory-full",
+             "Requests or answers that made the least progress for their bytes were "
+             "ended to make room; logged once a second with the number so far." },
+  EventInfo{ Event::ConnectionsFull,
+             "connections-full",
+             "A listening address has as many connections as it may; the one without a "
+             "request for the longest time is closed; logged once a second." },
 };
 
 } // namespace
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -51,6 +51,8 @@
   RunbookEnded = 6003,
   RequestEnded = 7001,
   RequestBroken = 7002,
+  MemoryFull = 7101,
+  ConnectionsFull = 7102,
 };
 
 // Catalogue entry of an event.
--- a/src/base/result.h
+++ b/src/base/result.h
@@ -42,6 +42,7 @@
   DeadlineBeforeStart = 407,
   NotConnected = 408,
   BackendServerLeft = 409,
+  MemoryFull = 410,
   TicketMissing = 501,
   TicketInvalid = 502,
   TicketExpired = 503,
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -1,6 +1,7 @@
 // Main program of vanillaloftd, which runs one entry instance.
 #include <csignal>
 #include <iostream>
+#include <malloc.h>
 
 #include <spdlog/sinks/stdout_sinks.h>
 
@@ -41,6 +42,14 @@
     false,
     "time limit for the planned stop, in milliseconds" },
   { "weight", "1", false, "capacity for callers relative to other instances, 1 to 100" },
+  { "memory-mb",
+    "1024",
+    false,
+    "memory that the process may take, in MB; requests and answers hold a part of it" },
+  { "max-descriptors",
+    "0",
+    false,
+    "open files and sockets that the process may have; 0: as the system allows" },
   { "log-level", "info", false, "debug, info, warning or error" },
 };
 
@@ -49,6 +58,14 @@
   { "log-level", "info", false, "debug, info, warning or error" },
 };
 
+// Makes the allocator map each large block by itself, so that the memory of a body goes
+// back to the system with the body. By default it begins to keep them.
+void ReturnLargeBlocks()
+{
+  constexpr int kLargeBlockBytes = 128 * 1024;
+  mallopt(M_MMAP_THRESHOLD, kLargeBlockBytes);
+}
+
 // Throws base::SettingError.
 void SetLogLevel(const base::Settings& aSettings)
 {
@@ -71,6 +88,10 @@
   settings.mStore = aSettings.Address("store");
   settings.mSeeds = aSettings.Text("seeds");
   settings.mWeight = static_cast<unsigned>(aSettings.Number("weight", 1, 100));
+  settings.mMemoryBytes =
+    static_cast<std::size_t>(aSettings.Number("memory-mb", 96, 1'000'000)) * 1024 * 1024;
+  settings.mMaxDescriptors =
+    static_cast<std::size_t>(aSettings.Number("max-descriptors", 0, 1'000'000));
   settings.mTicketLifetime = aSettings.Milliseconds("ticket-ttl-ms", 100, 3'600'000);
   settings.mRequestTimeout = aSettings.Milliseconds("request-timeout-ms", 100, 600'000);
   settings.mStopTimeout = aSettings.Milliseconds("stop-timeout-ms", 0, 3'600'000);
@@ -91,9 +112,10 @@
                           [&](net::Request aRequest, auto& aConnection) {
                             return api.HandleCaller(std::move(aRequest), aConnection);
                           });
-  instance.mListener.Open(admin, [&](net::Request aRequest, auto&) {
-    return api.HandleOperator(std::move(aRequest));
-  });
+  instance.mListener.Open(
+    admin,
+    [&](net::Request aRequest, auto&) { return api.HandleOperator(std::move(aRequest)); },
+    entry::Audience::Operators);
   daemon::RunbookRunner runner(instance.mCore, *instance.mStore);
   instance.mLoops.Start(daemon::Loops::ConfigSource::OwnStore);
   entry::SpawnLoop(instance.mContext, "runbooks", [&] { return runner.Loop(); });
@@ -106,6 +128,7 @@
 {
   spdlog::set_default_logger(spdlog::stderr_logger_mt("vanillaloftd"));
   std::signal(SIGPIPE, SIG_IGN);
+  ReturnLargeBlocks();
   try {
     if (auto path = platform::SettingsPath()) {
       spdlog::set_default_logger(
--- a/src/decide/route.cc
+++ b/src/decide/route.cc
@@ -22,6 +22,7 @@
   RetryDelay{ base::Result::BackendServerShed, milliseconds(150) },
   RetryDelay{ base::Result::NoBackendServer, milliseconds(500) },
   RetryDelay{ base::Result::NotReady, milliseconds(300) },
+  RetryDelay{ base::Result::MemoryFull, milliseconds(500) },
   RetryDelay{ base::Result::KeysUnconfirmed, milliseconds(500) },
   RetryDelay{ base::Result::NotConnected, milliseconds(150) },
   RetryDelay{ base::Result::BackendServerLeft, milliseconds(150) },
--- a/src/entry/backend.cc
+++ b/src/entry/backend.cc
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "entry/memory.h"
+
 namespace vanillaloft::entry {
 
 namespace http = boost::beast::http;
@@ -107,12 +109,14 @@
   }
   ServerAnswer answer;
   std::optional<Failure> failure;
+  connection->SetReadBudget(aExchange.HeldBy());
   try {
     answer = co_await SendAndReadAnswer(aExchange, *connection, metadata);
   } catch (const net::CallError& error) {
     failure = { error.TimedOut() ? Result::AnswerTimeout : Result::AnswerLost,
                 "no complete answer in time" };
   }
+  connection->SetReadBudget(nullptr);
   if (aExchange.mCaller) {
     aExchange.mCaller->mOnDisconnect = nullptr;
   }
@@ -142,8 +146,8 @@
   const AttemptMetadata& aMetadata) const
 {
   net::Request request = mFormat.ToServer(aExchange, aMetadata);
-  net::Response response =
-    co_await aConnection.Call(request, aMetadata.mTimeLeft + kAnswerGrace);
+  net::Response response = co_await aConnection.Call(
+    request, aExchange.mBody, aMetadata.mTimeLeft + kAnswerGrace);
   ServerAnswer answer = mFormat.FromServer(std::move(response));
   for (unsigned skipped = 0; NamesAnotherRequest(aExchange, answer); ++skipped) {
     base::Log(spdlog::level::warn,
--- a/src/entry/core.cc
+++ b/src/entry/core.cc
@@ -33,6 +33,10 @@
   { "vanillaloft_pool_held", "1 while the pool share is held." },
   { "vanillaloft_orders_remembered", "Order tickets that have not expired." },
   { "vanillaloft_requests_running", "Requests being served." },
+  { "vanillaloft_held_bytes", "Bytes of requests and answers that are held." },
+  { "vanillaloft_held_bytes_budget", "Bytes that requests and answers may hold." },
+  { "vanillaloft_ended_for_memory", "Requests and answers ended to make room." },
+  { "vanillaloft_ended_for_descriptors", "Connections ended at their limit." },
   { "vanillaloft_registrations_age_seconds",
     "Age of what is known of the backend servers' registrations; -1 if nothing is." },
 };
@@ -144,6 +148,10 @@
   , mShares(aSelf, mSettings.mDataCentre, mSettings.mShareClaimDelay)
   , mLedger(aSelf, std::move(aSecret), mSettings.mTicketLifetime)
   , mPeers(aContext)
+  , mMemory(aContext,
+            aClock,
+            MessageBudget(mSettings.mMemoryBytes > 0 ? mSettings.mMemoryBytes
+                                                     : kDefaultMemoryBytes))
   , mSelf(aSelf)
 {
 }
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -28,6 +28,7 @@
 #include "decide/share.h"
 #include "decide/steer.h"
 #include "decide/ticket.h"
+#include "entry/memory.h"
 #include "entry/signal.h"
 #include "peer/peer.h"
 #include "store/calls.h"
@@ -66,6 +67,8 @@
 // of shares sooner.
 constexpr Duration kNotReadyHeartbeatInterval = std::chrono::milliseconds(250);
 
+constexpr std::size_t kDefaultMemoryBytes = 1024UL * 1024 * 1024;
+
 // Settings of one instance. They are validated at startup.
 struct InstanceSettings
 {
@@ -94,7 +97,9 @@
   // Time from the start of an instance to its first claim of shares.
   Duration mShareClaimDelay = decide::kNewHolderWait;
   ConfigParser mParseConfig = decide::ParseConfig;
-  unsigned mWeight = 1; // capacity for callers relative to other instances
+  unsigned mWeight = 1;            // capacity for callers relative to other instances
+  std::size_t mMemoryBytes = 0;    // memory of the machine; 0: kDefaultMemoryBytes
+  std::size_t mMaxDescriptors = 0; // open files and sockets; 0: as the system allows
 };
 
 // What a backend server said of itself in a response.
@@ -217,6 +222,7 @@
   decide::TicketLedger mLedger;
   peer::Client mPeers;
   Metrics mMetrics;
+  MemoryGate mMemory;
   bool mLeaving = false; // left out of look-up responses, still serving
   bool mStopped = false; // accepts no new requests
   // End of a planned stop: requests without a response are cut off then. Empty before
@@ -232,6 +238,7 @@
   decide::StorePath mStorePath;
   bool mStoreAvailable = false;
   unsigned mRequestsInFlight = 0;
+  std::uint64_t mEndedForDescriptors = 0; // connections that ended at their limit
 
 private:
   base::Incarnation mSelf;
--- a/src/entry/dump.cc
+++ b/src/entry/dump.cc
@@ -97,6 +97,11 @@
   metrics.Gauge("vanillaloft_share_holder").Set(aCore.mShares.IsHolder() ? 1 : 0);
   metrics.Gauge("vanillaloft_pool_held").Set(aCore.mShares.HoldsPool(now) ? 1 : 0);
   metrics.Gauge("vanillaloft_orders_remembered").Set(double(aCore.mLedger.Size()));
+  metrics.Gauge("vanillaloft_held_bytes").Set(double(aCore.mMemory.HeldBytes()));
+  metrics.Gauge("vanillaloft_held_bytes_budget").Set(double(aCore.mMemory.Budget()));
+  metrics.Gauge("vanillaloft_ended_for_memory").Set(double(aCore.mMemory.Ended()));
+  metrics.Gauge("vanillaloft_ended_for_descriptors")
+    .Set(double(aCore.mEndedForDescriptors));
   metrics.Gauge("vanillaloft_requests_running").Set(double(aCore.mRequestsInFlight));
   Duration age = aCore.RegistrationsAge();
   metrics.Gauge("vanillaloft_registrations_age_seconds")
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -11,12 +11,15 @@
 
 namespace vanillaloft::entry {
 
+class Hold;
+
 using base::Duration;
 using base::Instant;
 
 // The connection that a request arrived on. It exists while the request is served.
 struct CallerConnection
 {
+  Hold* mHold = nullptr;               // bytes of the request and its answer
   std::uint32_t mAddress = 0;          // IPv4, host byte order; 0 for others
   bool mDisconnected = false;          // the caller was seen to close the connection
   std::function<void()> mOnDisconnect; // called once, when that is seen
@@ -56,6 +59,7 @@
   std::optional<bool> mTokensElsewhere;
   Instant mArrival{};
   Instant mDeadline{};
+  Hold* mHold = nullptr;               // for requests from peers; see HeldBy
   CallerConnection* mCaller = nullptr; // null for requests from peers
   std::string mSendLog;                // each send and its result, for the log
   Instant mRetryAt{};                  // earliest useful retry after a refusal, if known
@@ -81,6 +85,7 @@
     return mOrganisation.IsNone() ? aDefault
                                   : mConfig->mOrganisations[mOrganisation.Value()].mName;
   }
+  Hold* HeldBy() const { return mCaller ? mCaller->mHold : mHold; }
   bool CallerDisconnected() const { return mCaller && mCaller->IsDisconnected(); }
 };
 
--- a/src/entry/format.cc
+++ b/src/entry/format.cc
@@ -115,8 +115,6 @@
     request.set(kTicketHeader, id);
   }
   request.keep_alive(true);
-  request.body() = aExchange.mBody;
-  request.prepare_payload();
   return request;
 }
 
--- a/src/entry/format.h
+++ b/src/entry/format.h
@@ -51,6 +51,7 @@
   virtual Exchange FromCaller(net::Request aRequest) const = 0;
   // Also converts refusals, i.e. outcomes whose result is not Ok.
   virtual net::Response ToCaller(decide::Outcome aOutcome) const = 0;
+  // Returns the head of the request; its body is the exchange's.
   virtual net::Request ToServer(const Exchange& aExchange,
                                 const AttemptMetadata& aMetadata) const = 0;
   virtual ServerAnswer FromServer(net::Response aResponse) const = 0;
--- a/src/entry/listener.cc
+++ b/src/entry/listener.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 
+#include <sys/resource.h>
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -20,7 +22,14 @@
 
 namespace {
 
+constexpr std::size_t kMinReadBytes = 512;
+constexpr std::size_t kMaxReadBytes = 64UL * 1024;
+// A connection without a request keeps no larger buffer.
+constexpr std::size_t kMaxSpareBytes = 4UL * 1024;
 constexpr std::chrono::seconds kWriteTimeout{ 10 };
+constexpr Duration kLimitLogInterval = std::chrono::seconds(1);
+// Closed connections that have not given their descriptors back yet, at most.
+constexpr std::size_t kEndingSessions = 16;
 constexpr std::chrono::milliseconds kAcceptRetryDelay{ 50 };
 // A new connection counts as busy for this long, because its first request is probably
 // on the way.
@@ -28,7 +37,6 @@
 // Longest time for a caller to read the last response and to close the connection.
 constexpr std::chrono::milliseconds kLingerTime{ 500 };
 constexpr std::size_t kLingerReadBytes = 4096;
-constexpr std::size_t kHeadReadBytes = 4096;
 // An idle connection is closed this much later than the configured idle time, which
 // callers are told, so that no request is in flight when the connection closes.
 constexpr Duration kIdleCloseMargin = std::chrono::seconds(2);
@@ -49,6 +57,32 @@
   }
 }
 
+// Gives the memory of an empty buffer back if it has become large.
+void ReleaseSpare(beast::flat_buffer& aBuffer)
+{
+  if (aBuffer.size() == 0 && aBuffer.capacity() > kMaxSpareBytes) {
+    aBuffer.shrink_to_fit();
+  }
+}
+
+// Capacity of a buffer that makes room for aBytes more.
+std::size_t CapacityAfter(const beast::flat_buffer& aBuffer, std::size_t aBytes)
+{
+  std::size_t size = aBuffer.size();
+  if (size + aBytes <= aBuffer.capacity()) {
+    return aBuffer.capacity();
+  }
+  return std::min(aBuffer.max_size(), std::max(2 * size, size + aBytes));
+}
+
+// Open files and sockets that the system allows the process.
+std::size_t AllowedDescriptors()
+{
+  rlimit allowed{};
+  getrlimit(RLIMIT_NOFILE, &allowed);
+  return allowed.rlim_cur;
+}
+
 // Maps an error while reading a request to a result code. Ok: the connection is closed
 // without a response, since the caller closed the connection or sent nothing in time.
 Result ReadErrorResult(const Error& aError, bool aStarted)
@@ -149,9 +183,22 @@
 {
 }
 
-void Listener::Open(const base::HostPort& aAt, Handler aHandler)
+std::size_t MaxConnections(Audience aAudience, std::size_t aDescriptors)
+{
+  // The rest is kept for peers, the store and backend servers.
+  constexpr std::array kDivisors = { 2, 8, 16 };
+  return aDescriptors /
+         static_cast<std::size_t>(kDivisors.at(static_cast<std::size_t>(aAudience)));
+}
+
+void Listener::Open(const base::HostPort& aAt, Handler aHandler, Audience aAudience)
 {
-  mEndpoints.push_back({ Acceptor(mCore.mContext), std::move(aHandler) });
+  std::size_t descriptors = mCore.mSettings.mMaxDescriptors > 0
+                              ? mCore.mSettings.mMaxDescriptors
+                              : AllowedDescriptors();
+  mEndpoints.push_back({ Acceptor(mCore.mContext),
+                         std::move(aHandler),
+                         MaxConnections(aAudience, descriptors) });
   BindAndListen(mEndpoints.back().mAcceptor, aAt);
   Spawn(mCore.mContext, "accept", AcceptConnections(mEndpoints.back()));
 }
@@ -167,7 +214,7 @@
       Socket socket(mCore.mContext);
       endpoint.mAcceptor.accept(socket, error);
       if (!error) {
-        StartSession(std::move(socket), endpoint.mHandler);
+        StartSession(std::move(socket), endpoint);
       }
     }
     endpoint.mAcceptor.close(error);
@@ -213,19 +260,103 @@
       co_await mCore.Sleep(kAcceptRetryDelay);
       continue;
     }
-    StartSession(std::move(socket), aEndpoint.mHandler);
+    StartSession(std::move(socket), aEndpoint);
+  }
+}
+
+void Listener::Session::GiveUp()
+{
+  if (mParser) {
+    mStream.cancel();
+  } else {
+    mStream.close();
+  }
+}
+
+// Closes the connection that has had no request for the longest time. The one whose
+// request is being served stays.
+void Listener::EndIdlest(const Endpoint& aEndpoint)
+{
+  Session* idlest = nullptr;
+  for (Session& session : mSessions) {
+    bool mayEnd = &session.mEndpoint == &aEndpoint && !session.mAnswering &&
+                  session.mStream.socket().is_open();
+    if (mayEnd && (!idlest || session.mMovedAt < idlest->mMovedAt)) {
+      idlest = &session;
+    }
+  }
+  ++mCore.mEndedForDescriptors;
+  if (mCore.Now() - mLimitLoggedAt >= kLimitLogInterval) {
+    mLimitLoggedAt = mCore.Now();
+    base::Log(spdlog::level::warn,
+              base::Event::ConnectionsFull,
+              "limit={} ended={}",
+              aEndpoint.mMaxSessions,
+              mCore.mEndedForDescriptors);
+  }
+  if (idlest) {
+    idlest->mStream.close();
   }
 }
 
-void Listener::StartSession(Socket aSocket, const Handler& aHandler)
+// At the limit a new connection takes the place of an idle one. If all have a request in
+// service, it is closed before anything is read.
+void Listener::StartSession(Socket aSocket, Endpoint& aEndpoint)
 {
   Error error;
+  if (aEndpoint.mSessions >= aEndpoint.mMaxSessions) {
+    EndIdlest(aEndpoint);
+    if (aEndpoint.mSessions >= aEndpoint.mMaxSessions + kEndingSessions) {
+      return;
+    }
+  }
   aSocket.set_option(asio::ip::tcp::no_delay(true), error);
   net::EnableDeadPeerDetection(aSocket);
-  mSessions.emplace_back(std::move(aSocket), aHandler, mCore.Now());
+  ++aEndpoint.mSessions;
+  mSessions.emplace_back(std::move(aSocket), aEndpoint, mCore.mMemory, mCore.Now());
   Spawn(mCore.mContext, "connection", ServeConnection(std::prev(mSessions.end())));
 }
 
+// Waits until the request may hold aBytes. A connection may always hold a few.
+Awaitable<Error> Listener::AwaitRoom(Session& aSession, std::size_t aBytes)
+{
+  while (aBytes > kMaxSpareBytes && !aSession.mHold.GrowMessage(aBytes)) {
+    co_await aSession.mHold.Pause();
+    if (aSession.mHold.MustEnd()) {
+      co_return asio::error::operation_aborted;
+    }
+    if (!aSession.mStream.socket().is_open()) {
+      co_return http::error::end_of_stream;
+    }
+    if (std::chrono::steady_clock::now() >= aSession.mReadEnd) {
+      co_return beast::error::timeout;
+    }
+  }
+  co_return Error();
+}
+
+// Reads bytes into the buffer once there is room for them. aBodyBytes: held beside it.
+Awaitable<Error> Listener::FillBuffer(Session& aSession, std::size_t aBodyBytes)
+{
+  beast::flat_buffer& buffer = aSession.mBuffer;
+  std::size_t spare = buffer.capacity() - buffer.size();
+  std::size_t size = std::min(std::clamp(spare, kMinReadBytes, kMaxReadBytes),
+                              buffer.max_size() - buffer.size());
+  if (size == 0) {
+    co_return http::error::buffer_overflow;
+  }
+  Error error = co_await AwaitRoom(aSession, aBodyBytes + CapacityAfter(buffer, size));
+  if (error) {
+    co_return error;
+  }
+  std::size_t count = co_await aSession.mStream.async_read_some(
+    buffer.prepare(size), asio::redirect_error(asio::use_awaitable, error));
+  buffer.commit(count);
+  aSession.mMovedAt = mCore.Now();
+  aSession.mHold.RecordProgress(count);
+  co_return error;
+}
+
 Awaitable<Listener::ReadOutcome> Listener::ReadRequest(Session& aSession)
 {
   decide::CallerLimits limits;
@@ -245,6 +376,7 @@
   asio::steady_timer timer(mCore.mContext, limit);
   timer.async_wait(
     [read](const Error& aCancelled) { CancelOnTimeout(*read, aCancelled); });
+  aSession.mReadEnd = timer.expiry();
   aSession.mStream.expires_never();
   aSession.mParser = &parser;
   net::HeadScanner head;
@@ -257,7 +389,10 @@
   read->mStream = nullptr;
   timer.cancel();
   ReadOutcome outcome;
-  if (head.Fault() != net::FramingFault::None) {
+  if (aSession.mHold.MustEnd()) {
+    outcome.mFailure = Result::MemoryFull;
+    outcome.mClosed = !started;
+  } else if (head.Fault() != net::FramingFault::None) {
     outcome.mFailure = FaultResult(head.Fault());
   } else if (error) {
     Error cause = read->mTimedOut ? Error(beast::error::timeout) : error;
@@ -279,9 +414,7 @@
     if (aSession.mBuffer.size() > aMaxBytes) {
       co_return http::error::header_limit;
     }
-    std::size_t size = co_await aSession.mStream.async_read_some(
-      aSession.mBuffer.prepare(kHeadReadBytes),
-      asio::redirect_error(asio::use_awaitable, error));
+    error = co_await FillBuffer(aSession, 0);
     if (error == asio::error::eof) {
       co_return aSession.mBuffer.size() > 0 ? http::error::partial_message
                                             : http::error::end_of_stream;
@@ -289,11 +422,38 @@
     if (error) {
       co_return error;
     }
-    aSession.mBuffer.commit(size);
   }
   co_return error;
 }
 
+// Reads and parses until aIsDone. Bytes that are in the buffer come first.
+Awaitable<Error> Listener::ReadUntil(Session& aSession,
+                                     Parser& aParser,
+                                     bool (Progress::*aIsDone)() const)
+{
+  beast::flat_buffer& buffer = aSession.mBuffer;
+  while (!(aParser.*aIsDone)()) {
+    Error error;
+    if (buffer.size() > 0) {
+      buffer.consume(aParser.put(buffer.data(), error));
+    }
+    if (error && error != http::error::need_more) {
+      co_return error;
+    }
+    if ((aParser.*aIsDone)()) {
+      break;
+    }
+    error = co_await FillBuffer(aSession, aParser.get().body().size());
+    if (error == asio::error::eof) {
+      co_return http::error::partial_message;
+    }
+    if (error) {
+      co_return error;
+    }
+  }
+  co_return Error();
+}
+
 // Reads a request whose head is in the buffer. Drops the trailers, which Beast would add
 // to the header: a caller could replace fields there that were checked before.
 Awaitable<Error> Listener::ReadMessage(Session& aSession, Parser& aParser)
@@ -304,19 +464,14 @@
     }
   };
   aParser.on_chunk_header(checkChunk);
-  Error error;
-  co_await http::async_read_header(aSession.mStream,
-                                   aSession.mBuffer,
-                                   aParser,
-                                   asio::redirect_error(asio::use_awaitable, error));
+  aParser.eager(false);
+  Error error = co_await ReadUntil(aSession, aParser, &Progress::is_header_done);
   if (error) {
     co_return error;
   }
   http::request_header<> header = aParser.get().base();
-  co_await http::async_read(aSession.mStream,
-                            aSession.mBuffer,
-                            aParser,
-                            asio::redirect_error(asio::use_awaitable, error));
+  aParser.eager(true);
+  error = co_await ReadUntil(aSession, aParser, &Progress::is_done);
   aParser.get().base() = std::move(header);
   co_return error;
 }
@@ -328,11 +483,12 @@
   auto remote = socket.remote_endpoint(error).address();
   auto connection = std::make_shared<CallerConnection>();
   connection->mAddress = remote.is_v4() ? remote.to_v4().to_uint() : 0;
+  connection->mHold = &aSession.mHold;
   connection->mProbeClosed = [&socket] { return PeerHasClosed(socket); };
   WatchForDisconnect(socket, connection);
   net::Response response;
   try {
-    response = co_await aSession.mHandler(std::move(aRequest), *connection);
+    response = co_await aSession.mEndpoint.mHandler(std::move(aRequest), *connection);
   } catch (const std::exception& failure) {
     // It is unknown whether the request ran, so the result must not promise that it did
     // not.
@@ -360,12 +516,30 @@
   }
 }
 
+// Writes a response. Its caller's reading counts as progress.
+Awaitable<Error> Listener::WriteResponse(Session& aSession, net::Response& aResponse)
+{
+  aSession.mHold.Reset();
+  aSession.mHold.SetMessage(aResponse.body().size());
+  aSession.mHold.EnterPhase(decide::HoldPhase::Sending);
+  http::response_serializer<http::string_body> serializer(aResponse);
+  aSession.mStream.expires_after(kWriteTimeout);
+  Error error;
+  while (!error && !serializer.is_done()) {
+    std::size_t count = co_await http::async_write_some(
+      aSession.mStream, serializer, asio::redirect_error(asio::use_awaitable, error));
+    aSession.mHold.RecordProgress(count);
+  }
+  co_return error;
+}
+
 // Serves requests one after the other, also if they arrive pipelined. Returns after a
 // request that could not be read completely, since the bytes that follow it cannot be
 // trusted.
 Awaitable<void> Listener::ServeRequests(Session& aSession)
 {
   for (bool keepAlive = true; keepAlive;) {
+    aSession.mHold.Reset();
     ReadOutcome received = co_await ReadRequest(aSession);
     if (received.mClosed) {
       co_return;
@@ -380,20 +554,22 @@
       response = mFormat.ToCaller(std::move(refusal));
     } else {
       keepAlive = received.mRequest.keep_alive();
+      ReleaseSpare(aSession.mBuffer);
+      aSession.mHold.SetMessage(received.mRequest.body().size() +
+                                aSession.mBuffer.capacity());
+      aSession.mHold.EnterPhase(decide::HoldPhase::Serving);
       response = co_await HandleRequest(aSession, std::move(received.mRequest));
     }
     keepAlive = keepAlive && !mCore.mLeaving;
     response.keep_alive(keepAlive);
     response.prepare_payload();
-    aSession.mStream.expires_after(kWriteTimeout);
-    Error error;
-    co_await http::async_write(
-      aSession.mStream, response, asio::redirect_error(asio::use_awaitable, error));
+    Error error = co_await WriteResponse(aSession, response);
     aSession.mAnswering = false;
     if (error) {
       co_return;
     }
   }
+  aSession.mHold.Reset();
   co_await Linger(aSession.mStream);
 }
 
@@ -404,6 +580,7 @@
   } catch (const std::exception& failure) {
     base::Log(spdlog::level::err, base::Event::RequestBroken, "cause={}", failure.what());
   }
+  --aSession->mEndpoint.mSessions;
   mSessions.erase(aSession);
 }
 
--- a/src/entry/listener.h
+++ b/src/entry/listener.h
@@ -23,6 +23,19 @@
 // response is returned.
 using Handler = std::function<Awaitable<net::Response>(net::Request, CallerConnection&)>;
 
+// Who connects to a listening address. Each kind has its own limit on connections, so
+// that one cannot take the descriptors of the others, of peers, the store and backend
+// servers.
+enum class Audience : std::uint8_t
+{
+  Callers,
+  LookUps,
+  Operators
+};
+
+// Largest number of open connections from an audience.
+std::size_t MaxConnections(Audience aAudience, std::size_t aDescriptors);
+
 // Accepts connections, reads requests, passes them to a Handler and writes the responses.
 class Listener
 {
@@ -31,7 +44,9 @@
 
   // Binds an address and accepts connections until StopAccepting. Throws
   // std::system_error.
-  void Open(const base::HostPort& aAt, Handler aHandler);
+  void Open(const base::HostPort& aAt,
+            Handler aHandler,
+            Audience aAudience = Audience::Callers);
   // Accepts the connections that are established already and closes the listening
   // sockets.
   void StopAccepting();
@@ -47,29 +62,40 @@
   using Acceptor = boost::asio::ip::tcp::acceptor;
   using Stream = boost::beast::tcp_stream;
   using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using Progress = boost::beast::http::basic_parser<true>;
 
   struct Endpoint
   {
     Acceptor mAcceptor;
     Handler mHandler;
+    std::size_t mMaxSessions;
+    std::size_t mSessions = 0; // open now
   };
   // An open connection.
   struct Session
   {
-    Session(Socket aSocket, const Handler& aHandler, Instant aAcceptedAt)
+    Session(Socket aSocket, Endpoint& aEndpoint, MemoryGate& aMemory, Instant aAcceptedAt)
       : mStream(std::move(aSocket))
-      , mHandler(aHandler)
+      , mEndpoint(aEndpoint)
       , mAcceptedAt(aAcceptedAt)
+      , mMovedAt(aAcceptedAt)
+      , mHold(aMemory, [this] { GiveUp(); })
     {
     }
+    // Ends what keeps the bytes: a request that arrives is refused, an answer is cut off.
+    void GiveUp();
 
     Stream mStream;
-    const Handler& mHandler;
+    Endpoint& mEndpoint;
     Instant mAcceptedAt;
+    Instant mMovedAt; // last time at which bytes arrived
     boost::beast::flat_buffer mBuffer;
+    std::chrono::steady_clock::time_point
+      mReadEnd;                      // time limit of the request that is read
     const Parser* mParser = nullptr; // set while a request is read
     bool mAnswering = false;         // from the end of a request to that of its response
     unsigned mRequests = 0;          // read so far
+    Hold mHold;
   };
   // Result of reading one request.
   struct ReadOutcome
@@ -80,15 +106,23 @@
   };
 
   Awaitable<void> AcceptConnections(Endpoint& aEndpoint);
-  void StartSession(Socket aSocket, const Handler& aHandler);
+  void StartSession(Socket aSocket, Endpoint& aEndpoint);
+  void EndIdlest(const Endpoint& aEndpoint);
   Awaitable<void> ServeConnection(std::list<Session>::iterator aSession);
   Awaitable<void> ServeRequests(Session& aSession);
   Awaitable<ReadOutcome> ReadRequest(Session& aSession);
-  static Awaitable<boost::system::error_code> ReadHead(Session& aSession,
-                                                       std::size_t aMaxBytes,
-                                                       net::HeadScanner& aScanner);
-  static Awaitable<boost::system::error_code> ReadMessage(Session& aSession,
-                                                          Parser& aParser);
+  Awaitable<boost::system::error_code> AwaitRoom(Session& aSession, std::size_t aBytes);
+  Awaitable<boost::system::error_code> FillBuffer(Session& aSession,
+                                                  std::size_t aBodyBytes);
+  Awaitable<boost::system::error_code> ReadHead(Session& aSession,
+                                                std::size_t aMaxBytes,
+                                                net::HeadScanner& aScanner);
+  Awaitable<boost::system::error_code> ReadUntil(Session& aSession,
+                                                 Parser& aParser,
+                                                 bool (Progress::*aIsDone)() const);
+  Awaitable<boost::system::error_code> ReadMessage(Session& aSession, Parser& aParser);
+  Awaitable<boost::system::error_code> WriteResponse(Session& aSession,
+                                                     net::Response& aResponse);
   Awaitable<net::Response> HandleRequest(Session& aSession, net::Request aRequest);
   static Awaitable<void> Linger(Stream& aStream);
   bool IsBusy(Session& aSession) const;
@@ -97,6 +131,7 @@
   const Format& mFormat;
   std::list<Endpoint> mEndpoints;
   std::list<Session> mSessions;
+  Instant mLimitLoggedAt{};
 };
 
 } // namespace vanillaloft::entry
--- a/src/net/http.cc
+++ b/src/net/http.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/error.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 namespace vanillaloft::net {
@@ -140,6 +141,24 @@
   }
 }
 
+// Waits until the budget has room for the next read. Meanwhile the peer's bytes stay in
+// the socket buffer, and a full one stops the peer.
+Awaitable<void> Connection::PauseForRoom(const Parser& aParser, ReadLimits aLimits)
+{
+  std::size_t held = aParser.get().body().size() + mBuffer.size() + kReadBytes;
+  while (!mBudget->Grow(held)) {
+    co_await mBudget->Pause();
+    if (!mStream.socket().is_open()) {
+      throw CallError(Stage::Sent, false, "the call was aborted");
+    }
+    if (Clock::now() >= aLimits.mEnd) {
+      Close();
+      throw CallError(
+        Stage::Sent, true, "no room for the response within the time limit");
+    }
+  }
+}
+
 // The stream's timeout only ends a read that waits for bytes. It never expires while
 // bytes keep arriving, so the loop checks the clock as well.
 Awaitable<Response> Connection::ReadResponse(ReadLimits aLimits)
@@ -158,6 +177,10 @@
       throw CallError(
         Stage::Sent, true, "the response did not complete within the time limit");
     }
+    if (mBudget) {
+      co_await PauseForRoom(parser, aLimits);
+      now = Clock::now();
+    }
     mStream.expires_at(std::min(aLimits.mEnd, now + aLimits.mStall));
     co_await ReadSome(parser);
   }
@@ -199,6 +222,23 @@
   co_return co_await ReadFinalResponse(mLimits);
 }
 
+Awaitable<Response> Connection::Call(const Request& aHead,
+                                     std::string_view aBody,
+                                     std::chrono::milliseconds aTimeout)
+{
+  Error error;
+  mReusable = false;
+  mLimits = { Clock::now() + aTimeout, aTimeout, aHead.method() == http::verb::head };
+  mStream.expires_at(mLimits.mEnd);
+  http::request<http::span_body<const char>> message(aHead.base());
+  message.body() = beast::span<const char>(aBody.data(), aBody.size());
+  message.prepare_payload();
+  co_await http::async_write(
+    mStream, message, asio::redirect_error(asio::use_awaitable, error));
+  ThrowOnError(error, Stage::Sent);
+  co_return co_await ReadFinalResponse(mLimits);
+}
+
 Awaitable<Response> Connection::ReadNext(std::chrono::milliseconds aTimeout)
 {
   mReusable = false;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <stdexcept>
 #include <string>
+#include <string_view>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -77,6 +78,17 @@
 // second, which is too late for most callers.
 constexpr std::chrono::milliseconds kConnectTimeout{ 500 };
 
+// Bounds the memory that responses take while they are read.
+class ReadBudget
+{
+public:
+  virtual ~ReadBudget() = default;
+  // Called before each read. The response would hold aBytes; false if there is no room.
+  virtual bool Grow(std::size_t aBytes) = 0;
+  // Waits for room, for a short time.
+  virtual Awaitable<void> Pause() = 0;
+};
+
 // A client connection with at most one call in flight. A failed call leaves it unusable:
 // a late response must never be taken for the response to a later request.
 class Connection
@@ -92,6 +104,10 @@
   Awaitable<Response> Call(const Request& aRequest,
                            std::chrono::milliseconds aTimeout,
                            std::chrono::milliseconds aStallTimeout);
+  // Sends a request whose body, aBody, stays where it is.
+  Awaitable<Response> Call(const Request& aHead,
+                           std::string_view aBody,
+                           std::chrono::milliseconds aTimeout);
   // Reads one more response, after one that did not belong to the request of the last
   // call. Throws CallError at Stage::Sent.
   Awaitable<Response> ReadNext(std::chrono::milliseconds aTimeout);
@@ -100,6 +116,8 @@
   // True if another call may use the connection. False after a failed call, and once the
   // peer has closed the connection or sent bytes that no request asked for.
   bool IsReusable();
+  // Responses are read within aBudget until it is replaced by null.
+  void SetReadBudget(ReadBudget* aBudget) { mBudget = aBudget; }
   // Aborts a call in flight, which then throws CallError.
   void Close() { mStream.close(); }
 
@@ -118,6 +136,7 @@
     bool mWithoutBody = false;          // the response to a HEAD request
   };
 
+  Awaitable<void> PauseForRoom(const Parser& aParser, ReadLimits aLimits);
   Awaitable<void> ReadSome(Parser& aParser);
   void CheckHead(HeadScanner& aHead);
   void ParseBuffer(Parser& aParser);
@@ -127,6 +146,7 @@
   boost::beast::tcp_stream mStream;
   boost::beast::flat_buffer mBuffer;
   ReadLimits mLimits; // of the last call
+  ReadBudget* mBudget = nullptr;
   std::size_t mResponsesRead = 0;
   bool mReusable = false;
 };
--- a/tests/unit/platform.cc
+++ b/tests/unit/platform.cc
@@ -146,6 +146,20 @@
   CHECK(config->mBudgets[shop.mBudget.Value()].mTotal.mPerSecond >= 100 * decide::kToken);
 }
 
+TEST_CASE("the machine's memory and descriptors bound what an instance takes")
+{
+  auto read = [](const std::string& aLimits) {
+    return platform::ReadSettings(WriteSettings(kSettings + aLimits)).mInstance;
+  };
+  entry::InstanceSettings small =
+    read("[local.limits]\nmemory_mb = 160\nmax_fds = 4100\n");
+  CHECK(small.mMemoryBytes == 160UL * 1024 * 1024);
+  CHECK(small.mMaxDescriptors == 3900);
+  CHECK(read("").mMemoryBytes == 0);
+  CHECK(read("[local.limits]\nmax_fds = 100\n").mMaxDescriptors == 0);
+  CHECK(read("[local.limits]\nmemory_mb = -1\n").mMemoryBytes == 0);
+}
+
 TEST_CASE("an instance's weight follows from the scarcer of processor and link")
 {
   auto weightOf = [](const std::string& aLimits) {
