--- a/src/decide/share.h
+++ b/src/decide/share.h
@@ -154,14 +154,14 @@
   bool Debit(BudgetId aBudget, MicroTokens aAmount, Instant aNow);
   // Takes tokens of the shares held now for an instance that may pass them on. Returns
   // zero if there are fewer than aLeast, otherwise from aLeast to aMost; what is given
-  // beyond aLeast leaves a reserve for the own data centre. Borrowed tokens are not lent,
-  // so that no token outlives its life.
+  // beyond aLeast is whole tokens and leaves a reserve for the own data centre. Borrowed
+  // tokens are not lent, so that no token outlives its life.
   MicroTokens Lend(BudgetId aBudget, MicroTokens aLeast, MicroTokens aMost, Instant aNow);
   // Adds tokens that another holder lent. They lapse at aUntil and whenever the
   // configuration changes.
   void AddLoan(BudgetId aBudget, MicroTokens aAmount, Instant aUntil, Instant aNow);
-  // Tokens that the demand of this data centre needs within a duration beyond what its
-  // share refills; zero if this instance is no holder.
+  // Whole tokens that the demand of this data centre needs within a duration beyond what
+  // its share refills; zero if this instance is no holder.
   MicroTokens Shortfall(BudgetId aBudget, Duration aTime, Instant aNow) const;
   // True if by the document another holder's share refills faster than its demand.
   bool OthersMaySpare(BudgetId aBudget) const;
