Downloads may be repeated and are cancelled when their callers leave

Cause: the adapter knew the kind 'safe' only and took downloads for orders, which are neither cancelled nor repeated. Large answers, the watch of the caller's connection and the links had been suspected before.

--- a/tests/unit/platform.cc
+++ b/tests/unit/platform.cc
@@ -146,6 +146,24 @@
   CHECK(config->mBudgets[shop.mBudget.Value()].mTotal.mPerSecond >= 100 * decide::kToken);
 }
 
+// Guards against downloads that run on after their callers have left (GONE), as orders
+// do.
+TEST_CASE("downloads may be repeated and cancelled, uploads and unknown kinds may not")
+{
+  auto kindOf = [](const std::string& aName) {
+    std::string text = kConfig;
+    const std::string unsafe = R"("kind":"unsafe")";
+    text.replace(text.find(unsafe), unsafe.size(), R"("kind":")" + aName + '"');
+    decide::ConfigPtr config = MakeDecoder().ReadConfig(text);
+    return config->mRoutes[config->FindRoute("a.example", "/x/y/z").Value()].mKind;
+  };
+  CHECK(kindOf("safe") == decide::RouteKind::Lookup);
+  CHECK(kindOf("download") == decide::RouteKind::Lookup);
+  CHECK(kindOf("unsafe") == decide::RouteKind::Order);
+  CHECK(kindOf("upload") == decide::RouteKind::Order);
+  CHECK(kindOf("another") == decide::RouteKind::Order);
+}
+
 TEST_CASE("the machine's memory and descriptors bound what an instance takes")
 {
   auto read = [](const std::string& aLimits) {
