A coroutine that waits for a signal may outlive it

Cause: entry::Signal kept the timers of the coroutines that wait for it, and each takes itself out of that set when it is destroyed. The signals belong to the core, which is destroyed before the I/O context, and with this one the frames that still wait: peers that follow their watcher hold a call open nearly all the time. So a watcher could end with a memory fault after a planned stop. Change: the set is shared with the frames, as entry::Tokens does with its state.

--- a/src/entry/signal.h
+++ b/src/entry/signal.h
@@ -1,7 +1,9 @@
 // Wakes the coroutines of one thread that wait for something to happen.
 #pragma once
 
+#include <memory>
 #include <set>
+#include <utility>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -29,34 +31,37 @@
 
   void NotifyAll()
   {
-    for (boost::asio::steady_timer* timer : mWaiting) {
+    for (boost::asio::steady_timer* timer : *mWaiting) {
       timer->cancel();
     }
   }
 
 private:
   using Timers = std::set<boost::asio::steady_timer*>;
+  // Shared with the coroutines, which may be destroyed after this object at the end of
+  // the process.
+  using TimersPtr = std::shared_ptr<Timers>;
 
   // Registers a timer until its coroutine ends or is destroyed.
   class Registration
   {
   public:
-    Registration(Timers& aWaiting, boost::asio::steady_timer& aTimer)
-      : mWaiting(aWaiting)
+    Registration(TimersPtr aWaiting, boost::asio::steady_timer& aTimer)
+      : mWaiting(std::move(aWaiting))
       , mTimer(aTimer)
     {
-      mWaiting.insert(&mTimer);
+      mWaiting->insert(&mTimer);
     }
-    ~Registration() { mWaiting.erase(&mTimer); }
+    ~Registration() { mWaiting->erase(&mTimer); }
     Registration(const Registration&) = delete;
     Registration& operator=(const Registration&) = delete;
 
   private:
-    Timers& mWaiting;
+    TimersPtr mWaiting;
     boost::asio::steady_timer& mTimer;
   };
 
-  Timers mWaiting;
+  TimersPtr mWaiting = std::make_shared<Timers>();
 };
 
 } // namespace vanillaloft::entry
