The head of an answer is searched once, and both calls send in one place

Cause: the client looked for the end of a head beside the scanner that had just found it; its call with a separate body repeated the other call; the view of a buffer's bytes stood in two files. Change: HasWholeHead rests on HeadScanner::Scan, SendAndRead serves both calls, net::BytesOf both files. No change of behaviour.

--- a/src/entry/listener.cc
+++ b/src/entry/listener.cc
@@ -125,11 +125,6 @@
   }
 }
 
-std::string_view BytesOf(const beast::flat_buffer& aBuffer)
-{
-  return { static_cast<const char*>(aBuffer.data().data()), aBuffer.size() };
-}
-
 } // namespace
 
 namespace {
@@ -410,7 +405,7 @@
                                     net::HeadScanner& aScanner)
 {
   Error error;
-  while (!aScanner.Scan(BytesOf(aSession.mBuffer))) {
+  while (!aScanner.Scan(net::BytesOf(aSession.mBuffer))) {
     if (aSession.mBuffer.size() > aMaxBytes) {
       co_return http::error::header_limit;
     }
--- a/src/net/http.cc
+++ b/src/net/http.cc
@@ -22,7 +22,6 @@
 using Error = boost::system::error_code;
 
 constexpr std::string_view kProtocol = "HTTP/1.";
-constexpr std::string_view kHeadEnd = "\r\n\r\n";
 constexpr std::size_t kReadBytes = 16UL * 1024;
 constexpr unsigned kMaxInterimResponses = 16; // before one final response
 constexpr unsigned kMinStatus = 100;          // lower ones are not HTTP
@@ -38,16 +37,6 @@
   }
 }
 
-std::string_view BytesOf(const beast::flat_buffer& aBuffer)
-{
-  return { static_cast<const char*>(aBuffer.data().data()), aBuffer.size() };
-}
-
-bool HasWholeHead(std::string_view aBytes)
-{
-  return aBytes.find(kHeadEnd) != std::string_view::npos;
-}
-
 } // namespace
 
 void EnableDeadPeerDetection(asio::ip::tcp::socket& aSocket)
@@ -105,18 +94,20 @@
   ParseBuffer(aParser);
 }
 
-// Throws CallError if the bytes are no response, or if the head can be understood in two
-// ways, since it tells no length then, or is too large.
-void Connection::CheckHead(HeadScanner& aHead)
+// Returns true once the buffer contains the whole head. Throws CallError if the bytes are
+// no response, or if the head can be understood in two ways, since it tells no length
+// then, or is too large.
+bool Connection::HasWholeHead(HeadScanner& aHead)
 {
   std::string_view bytes = BytesOf(mBuffer);
-  aHead.Scan(bytes);
+  bool scanned = aHead.Scan(bytes);
   bool isResponse = bytes.starts_with(kProtocol) || kProtocol.starts_with(bytes);
-  bool tooLarge = !HasWholeHead(bytes) && bytes.size() > kMaxUnparsedBytes;
+  bool tooLarge = !scanned && bytes.size() > kMaxUnparsedBytes;
   if (aHead.Fault() != FramingFault::None || !isResponse || tooLarge) {
     Close();
     throw CallError(Stage::Sent, false, "the head of the response is malformed");
   }
+  return scanned;
 }
 
 // Parses the received bytes. Bytes behind the end of the response stay in the buffer. The
@@ -124,11 +115,8 @@
 // reads the head from its beginning.
 void Connection::ParseBuffer(Parser& aParser)
 {
-  if (!aParser.is_header_done()) {
-    CheckHead(aParser.mHead);
-    if (!HasWholeHead(BytesOf(mBuffer))) {
-      return;
-    }
+  if (!aParser.is_header_done() && !HasWholeHead(aParser.mHead)) {
+    return;
   }
   Error error;
   mBuffer.consume(aParser.put(mBuffer.data(), error));
@@ -206,9 +194,10 @@
   throw CallError(Stage::Sent, false, "too many interim responses");
 }
 
-Awaitable<Response> Connection::Call(const Request& aRequest,
-                                     std::chrono::milliseconds aTimeout,
-                                     std::chrono::milliseconds aStallTimeout)
+template<typename Message>
+Awaitable<Response> Connection::SendAndRead(const Message& aRequest,
+                                            std::chrono::milliseconds aTimeout,
+                                            std::chrono::milliseconds aStallTimeout)
 {
   Error error;
   mReusable = false;
@@ -222,21 +211,21 @@
   co_return co_await ReadFinalResponse(mLimits);
 }
 
+Awaitable<Response> Connection::Call(const Request& aRequest,
+                                     std::chrono::milliseconds aTimeout,
+                                     std::chrono::milliseconds aStallTimeout)
+{
+  co_return co_await SendAndRead(aRequest, aTimeout, aStallTimeout);
+}
+
 Awaitable<Response> Connection::Call(const Request& aHead,
                                      std::string_view aBody,
                                      std::chrono::milliseconds aTimeout)
 {
-  Error error;
-  mReusable = false;
-  mLimits = { Clock::now() + aTimeout, aTimeout, aHead.method() == http::verb::head };
-  mStream.expires_at(mLimits.mEnd);
   http::request<http::span_body<const char>> message(aHead.base());
   message.body() = beast::span<const char>(aBody.data(), aBody.size());
   message.prepare_payload();
-  co_await http::async_write(
-    mStream, message, asio::redirect_error(asio::use_awaitable, error));
-  ThrowOnError(error, Stage::Sent);
-  co_return co_await ReadFinalResponse(mLimits);
+  co_return co_await SendAndRead(message, aTimeout, aTimeout);
 }
 
 Awaitable<Response> Connection::ReadNext(std::chrono::milliseconds aTimeout)
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -37,6 +37,12 @@
   return response;
 }
 
+// The bytes that a buffer holds; valid until the buffer changes.
+inline std::string_view BytesOf(const boost::beast::flat_buffer& aBuffer)
+{
+  return { static_cast<const char*>(aBuffer.data().data()), aBuffer.size() };
+}
+
 constexpr std::size_t kMaxResponseBodyBytes = 4UL * 1024 * 1024;
 
 // The parser limits the head and the body of a message, but not the line of a chunk's
@@ -138,7 +144,12 @@
 
   Awaitable<void> PauseForRoom(const Parser& aParser, ReadLimits aLimits);
   Awaitable<void> ReadSome(Parser& aParser);
-  void CheckHead(HeadScanner& aHead);
+  bool HasWholeHead(HeadScanner& aHead);
+  // Sends a request and reads the response to it. Throws CallError.
+  template<typename Message>
+  Awaitable<Response> SendAndRead(const Message& aRequest,
+                                  std::chrono::milliseconds aTimeout,
+                                  std::chrono::milliseconds aStallTimeout);
   void ParseBuffer(Parser& aParser);
   Awaitable<Response> ReadResponse(ReadLimits aLimits);
   Awaitable<Response> ReadFinalResponse(ReadLimits aLimits);
