A request's familiarity is looked up once

Cause: the choice of a server built the class of a request, and the forecast built it again; whether there is a forecast stood in an optional and in its work. Change: ForecastAt always returns the flight, without work if there is no forecast.

--- a/src/decide/fleet.cc
+++ b/src/decide/fleet.cc
@@ -367,29 +367,29 @@
                                                        : Familiarity::Copy;
 }
 
-// Returns the expected wait and work of a request, or nothing if the service's servers do
-// not report their pace or the route is unknown.
-std::optional<Flight> Fleet::ForecastAt(const Candidate& aCandidate,
-                                        const Ranking& aRanking,
-                                        const PlacementQuery& aQuery,
-                                        Instant aNow) const
+// Returns the flight of a request that is sent now. Its wait and work are zero if the
+// service's servers do not report their pace or the route is unknown.
+Flight Fleet::ForecastAt(const Candidate& aCandidate,
+                         const Ranking& aRanking,
+                         const PlacementQuery& aQuery,
+                         Instant aNow) const
 {
-  if (!ForecastsWork(aQuery.mService)) {
-    return std::nullopt;
-  }
   const Server& server = *aCandidate.mServer;
   Flight flight;
   flight.mClass = { aQuery.mRoute,
                     FamiliarityOf(aCandidate, aRanking, aQuery, aNow),
                     aQuery.mBodyBytes };
+  flight.mSentAt = aNow;
+  if (!ForecastsWork(aQuery.mService)) {
+    return flight;
+  }
   std::optional<Duration> usual = mWorkForecast.Expect(flight.mClass);
   if (!usual) {
-    return std::nullopt;
+    return flight;
   }
   double pace = std::max(server.mPace.At(aNow),
                          server.mPace.Usual() * server.mBacklog.OverdueRatio(aNow));
   flight.mWork = std::chrono::duration_cast<Duration>(Seconds(*usual) * pace);
-  flight.mSentAt = aNow;
   unsigned slots = server.mRegistration.mSlots;
   double others = OtherInstancesLoad(server, aNow);
   if (!HasFreeSlot(server, aNow)) {
@@ -459,15 +459,10 @@
                                           : NoServerReason::AllFull,
              {} };
   }
-  std::optional<Flight> forecast = ForecastAt(*selected, aRanking, aQuery, aNow);
   ServerChoice choice{ selected->mServer, NoServerReason::NoCandidate, {} };
-  choice.mFlight.mClass = { aQuery.mRoute,
-                            FamiliarityOf(*selected, aRanking, aQuery, aNow),
-                            aQuery.mBodyBytes };
-  choice.mFlight.mSentAt = aNow;
+  choice.mFlight = ForecastAt(*selected, aRanking, aQuery, aNow);
   Server& server = *selected->mServer;
-  if (forecast) {
-    choice.mFlight = *forecast;
+  if (choice.mFlight.mWork > Duration::zero()) {
     choice.mFlight.mNumber = mNextFlight++;
     server.mBacklog.Add(choice.mFlight);
   }
--- a/src/decide/fleet.h
+++ b/src/decide/fleet.h
@@ -261,10 +261,10 @@
                                    const Ranking& aRanking,
                                    const PlacementQuery& aQuery,
                                    Instant aNow);
-  std::optional<Flight> ForecastAt(const Candidate& aCandidate,
-                                   const Ranking& aRanking,
-                                   const PlacementQuery& aQuery,
-                                   Instant aNow) const;
+  Flight ForecastAt(const Candidate& aCandidate,
+                    const Ranking& aRanking,
+                    const PlacementQuery& aQuery,
+                    Instant aNow) const;
   void LearnWork(Server& aServer, const Flight& aFlight, Instant aNow);
   Locality LocalityOf(const Server& aServer) const;
   Ranking RankServers(const PlacementQuery& aQuery, Instant aNow) const;
--- a/src/entry/direct.cc
+++ b/src/entry/direct.cc
@@ -143,8 +143,7 @@
 }
 
 // Records the end of a send, after which a leaving server needs no connections, and wakes
-// all requests that wait for the service, the most
-// urgent first.
+// all requests that wait for the service, the most urgent first.
 void DirectPlacement::EndSend(const decide::ServerChoice& aChoice, SendResult aResult)
 {
   mCore.mFleet.RecordResult(aChoice.mServer, aResult, mCore.Now(), aChoice.mFlight);
