The instances that stay in a data centre are listed once for each step

Cause: each step of following the store listed them up to three times, and IsFirstInDataCentre had the same filter again. Change: the step passes one list on, the filter stands in WatcherCandidates. No change of behaviour.

--- a/src/daemon/follow.cc
+++ b/src/daemon/follow.cc
@@ -53,6 +53,12 @@
   }
 }
 
+// True if one instance of a data centre with these others watches for all.
+bool IsEnoughToShare(const std::vector<decide::WatcherCandidate>& aMates)
+{
+  return aMates.size() >= decide::kMinMatesToShare;
+}
+
 long long Milliseconds(Duration aTime)
 {
   return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
@@ -102,22 +108,22 @@
 
 bool Follower::IsShared() const
 {
-  std::size_t mates = mCore.mMembers.WatcherCandidates(mCore.Now()).size();
-  return mates >= decide::kMinMatesToShare;
+  return IsEnoughToShare(mCore.mMembers.WatcherCandidates(mCore.Now()));
 }
 
 decide::FollowStep Follower::NextStep(PrefixState& aState)
 {
   Instant now = mCore.Now();
   bool eligible = !mCore.mLeaving && !mCore.mStorePath.Lost(now);
-  std::string watcher =
-    mWatcher.Update(mCore.mMembers.WatcherCandidates(now), eligible, now);
-  if (IsShared() && watcher != mWatcherAddress) {
+  std::vector<decide::WatcherCandidate> mates = mCore.mMembers.WatcherCandidates(now);
+  bool shared = IsEnoughToShare(mates);
+  std::string watcher = mWatcher.Update(mates, eligible, now);
+  if (shared && watcher != mWatcherAddress) {
     Log(spdlog::level::info, Event::WatcherChosen, "watcher={}", watcher);
   }
   mWatcherAddress = watcher;
   return aState.mPlan.Next(
-    IsShared(), watcher == mCore.Self().mAddress, mCore.ReplicaAge(aState.mSection), now);
+    shared, watcher == mCore.Self().mAddress, mCore.ReplicaAge(aState.mSection), now);
 }
 
 // Changes close together arrive in one batch, because calls start kBatchInterval apart.
--- a/src/decide/member.cc
+++ b/src/decide/member.cc
@@ -207,11 +207,9 @@
 
 bool Members::IsFirstInDataCentre(Instant aNow) const
 {
-  return std::ranges::none_of(AliveMembers(aNow), [&](const Member* aMember) {
-    const MemberStatus& status = aMember->mStatus;
-    return status.mDataCentre == mDataCentre && !status.mLeaving &&
-           status.mSelf.mAddress < mSelfAddress;
-  });
+  return std::ranges::none_of(
+    WatcherCandidates(aNow),
+    [&](const WatcherCandidate& aOther) { return aOther.mAddress < mSelfAddress; });
 }
 
 // A leaving instance owns a backend server only if no other ready instance of the data
