A refusal for lack of tokens does not say that an order with a ticket has not run

A caller who believes "not run" orders twice.

A new incarnation has its configuration before it has tokens, and refuses with rate-exceeded.

Change: a temporary refusal (one with a time to retry, or the deadline) of an order with a ticket becomes outcome-unknown, unless the ledger of this incarnation knows that the ticket's order did not run, or its issuer said so. The same at the issuer for requests that peers forward.

Requests of the users' platform carry no tickets.

--- a/src/decide/ticket.cc
+++ b/src/decide/ticket.cc
@@ -79,6 +79,15 @@
   return Hex({ reinterpret_cast<const char*>(mac.data()), size });
 }
 
+bool TicketLedger::IsGenuine(std::string_view aText) const
+{
+  std::size_t macAt = aText.rfind(kSeparator);
+  std::string expected = Sign(aText.substr(0, macAt));
+  std::string_view mac = aText.substr(macAt + 1);
+  return mac.size() == expected.size() &&
+         CRYPTO_memcmp(mac.data(), expected.data(), expected.size()) == 0;
+}
+
 // The entry is created when the ticket is issued, so there is always room to record the
 // use of an issued ticket.
 std::optional<std::string> TicketLedger::Issue(std::string_view aOrganisation,
@@ -122,12 +131,7 @@
   if (ticket->mIssuer != mSelf) {
     return refuse(base::Result::OutcomeUnknown);
   }
-  std::size_t macAt = aText.rfind(kSeparator);
-  std::string expected = Sign(aText.substr(0, macAt));
-  std::string_view mac = aText.substr(macAt + 1);
-  bool genuine = mac.size() == expected.size() &&
-                 CRYPTO_memcmp(mac.data(), expected.data(), expected.size()) == 0;
-  if (!genuine) {
+  if (!IsGenuine(aText)) {
     return refuse(base::Result::TicketInvalid);
   }
   auto found = mEntries.find(ticket->mSequence);
@@ -149,6 +153,20 @@
   return { TicketDecision::Kind::Repeat, entry.mOutcome, {} };
 }
 
+bool TicketLedger::IsNotRun(std::string_view aText,
+                            std::string_view aOrganisation,
+                            Instant aNow)
+{
+  DropExpired(aNow);
+  std::optional<Ticket> ticket = Ticket::Parse(aText);
+  if (!ticket || ticket->mOrganisation != aOrganisation || ticket->mIssuer != mSelf ||
+      !IsGenuine(aText)) {
+    return false;
+  }
+  auto found = mEntries.find(ticket->mSequence);
+  return found != mEntries.end() && found->second.mState == State::Issued;
+}
+
 // A successful response that is too large, or that exceeds the memory for responses, is
 // not kept; a repeated request then gets the result AnswerNotKept.
 void TicketLedger::Finish(std::uint64_t aSequence, Outcome aOutcome)
--- a/src/decide/ticket.h
+++ b/src/decide/ticket.h
@@ -85,6 +85,10 @@
                        std::string_view aRequest,
                        Instant aNow);
 
+  // True if the order of a presented ticket certainly did not run: this incarnation
+  // issued the ticket to the organisation, and its order was not started or gave it back.
+  bool IsNotRun(std::string_view aText, std::string_view aOrganisation, Instant aNow);
+
   // Records the outcome of an order that was started.
   void Finish(std::uint64_t aSequence, Outcome aOutcome);
 
@@ -117,6 +121,8 @@
   };
 
   std::string Sign(std::string_view aText) const;
+  // True if this incarnation signed a ticket.
+  bool IsGenuine(std::string_view aText) const;
   void DropExpired(Instant aNow);
 
   Incarnation mSelf;
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -44,9 +44,10 @@
   std::string mContentType;
   std::string mBody;
   std::vector<decide::HeaderField> mFields; // forwarded to the backend server unchanged
-  std::string mObject; // object of the request, for affinity; empty if not given
-  std::string mTicket; // as presented, if any
-  std::string mKey;    // as presented; never forwarded, never logged
+  std::string mObject;          // object of the request, for affinity; empty if not given
+  std::string mTicket;          // as presented, if any
+  bool mIssuerAnswered = false; // the instance that issued mTicket gave the result
+  std::string mKey;             // as presented; never forwarded, never logged
   bool mHasKey = false;
   Duration mCallerTimeout = Duration::max(); // as given by the caller
   decide::ConfigPtr mConfig;                 // that the indexes below refer to
--- a/src/entry/pipeline.cc
+++ b/src/entry/pipeline.cc
@@ -55,13 +55,12 @@
            : std::chrono::duration_cast<std::chrono::milliseconds>(aAge).count();
 }
 
-// Returns the result code to send to the caller. An order with a ticket may have run at
-// an earlier attempt. An instance that is not ready has not checked that, so the result
-// is OutcomeUnknown.
-Result ResultForCaller(Result aCode, const Exchange& aExchange)
+// True for refusals that do not depend on the request, such as a lack of tokens: the same
+// request may be accepted later. Such a refusal is made before a ticket is checked.
+bool IsTemporary(Result aRefusal)
 {
-  bool ranIsKnown = aCode != Result::NotReady || aExchange.mTicket.empty();
-  return ranIsKnown ? aCode : Result::OutcomeUnknown;
+  return decide::RetryAfter(aRefusal, 0) > Duration::zero() ||
+         aRefusal == Result::DeadlineBeforeStart;
 }
 
 // The log field of a refusal by a rate.
@@ -108,6 +107,22 @@
   co_return outcome;
 }
 
+// An order with a ticket may have run at an earlier attempt, also at another instance or
+// before this one was started. Until the ticket's issuer has said that it did not, a
+// refusal must not say so.
+Result Pipeline::ResultForCaller(Result aCode, const Exchange& aExchange)
+{
+  bool mayBeOrder = aExchange.mRoute.IsNone() ||
+                    aExchange.MatchedRoute().mKind == decide::RouteKind::Order;
+  if (aExchange.mTicket.empty() || !mayBeOrder || !IsTemporary(aCode) ||
+      aExchange.mIssuerAnswered) {
+    return aCode;
+  }
+  bool notRun = mCore.mLedger.IsNotRun(
+    aExchange.mTicket, aExchange.OrganisationNameOr(""), mCore.Now());
+  return notRun ? aCode : Result::OutcomeUnknown;
+}
+
 // Returns the token of a request that did not run to its organisation's budget. Otherwise
 // callers that are refused for lack of capacity and retry would use up the limit without
 // a response.
@@ -247,9 +262,10 @@
   try {
     co_return co_await ForwardTo(aExchange, aIssuer, true);
   } catch (const RequestError& error) {
-    bool issuerAnswered =
-      error.Code() != Result::NotConnected && error.Code() != Result::AnswerLost;
-    throw RequestError(issuerAnswered ? error.Code() : Result::OutcomeUnknown);
+    aExchange.mIssuerAnswered = error.Code() != Result::NotConnected &&
+                                error.Code() != Result::AnswerLost &&
+                                error.Code() != Result::DeadlineBeforeStart;
+    throw RequestError(aExchange.mIssuerAnswered ? error.Code() : Result::OutcomeUnknown);
   }
 }
 
--- a/src/entry/pipeline.h
+++ b/src/entry/pipeline.h
@@ -43,6 +43,10 @@
   // Runs an order whose ticket this instance issued. Throws RequestError.
   Awaitable<decide::Outcome> RunIssuedOrder(Exchange& aExchange);
 
+  // Returns the result code that a request gets which ended with aCode. Refusals of
+  // orders with a ticket become OutcomeUnknown unless the order certainly did not run.
+  Result ResultForCaller(Result aCode, const Exchange& aExchange);
+
   // Sends a peer's request to a backend server that this instance owns. Throws
   // RequestError.
   Awaitable<decide::Outcome> DeliverForPeer(Exchange& aExchange,
--- a/src/entry/relay.cc
+++ b/src/entry/relay.cc
@@ -221,7 +221,8 @@
     reply.set_content_type(outcome.mContentType);
     reply.set_body(std::move(outcome.mBody));
   } catch (const base::RequestError& error) {
-    reply.set_result(static_cast<std::uint32_t>(error.Code()));
+    Result result = mPipeline.ResultForCaller(error.Code(), exchange);
+    reply.set_result(static_cast<std::uint32_t>(result));
   }
   co_return reply;
 }
--- a/tests/unit/entry.cc
+++ b/tests/unit/entry.cc
@@ -289,6 +289,39 @@
   CHECK(resultOf("") == Result::NotReady);
 }
 
+// Guards against a wrong "not run" for an order that ran before its instance was
+// replaced (REFUSED): the new instance has no tokens of the organisation yet.
+TEST_CASE("a lack of tokens says nothing about an order whose ticket another one issued")
+{
+  Fixture fixture;
+  auto config =
+    std::make_shared<decide::Config>(*decide::ParseConfig(ConfigText(2, "strict key")));
+  for (decide::Profile& profile : config->mProfiles) {
+    profile.mQueueTime = {}; // the paused clock would never end a wait
+  }
+  fixture.mCore.AcceptConfig(config);
+  auto resultOf = [&](const std::string& aTicket, const std::string& aTarget) {
+    Exchange exchange;
+    exchange.mMethod = aTarget == "/order" ? "POST" : "GET";
+    exchange.mTarget = aTarget;
+    exchange.mHasKey = true;
+    exchange.mKey = "lenient key";
+    exchange.mTicket = aTicket;
+    exchange.mArrival = fixture.mClock.Now();
+    return test::RunCoroutine(fixture.mContext,
+                              fixture.mPipeline.Serve(std::move(exchange)))
+      .mResult;
+  };
+  decide::TicketLedger former(
+    { "127.0.0.1:1", 1 }, "another secret", std::chrono::seconds(30));
+  std::string formerTicket = *former.Issue("lenient", fixture.mClock.Now());
+  std::string ownTicket = *fixture.mCore.mLedger.Issue("lenient", fixture.mClock.Now());
+  REQUIRE(resultOf("", "/s/x") == Result::RateExceeded);
+  CHECK(resultOf(formerTicket, "/order") == Result::OutcomeUnknown);
+  CHECK(resultOf(ownTicket, "/order") == Result::RateExceeded);
+  CHECK(resultOf(formerTicket, "/s/x") == Result::RateExceeded);
+}
+
 // Guards against limits that are used up without a response: callers are refused for lack
 // of capacity and retry at once.
 TEST_CASE("the token of a request that did not run is refunded to its organisation")
