One instance of a data centre claims its shares

Cause: at a start of the fleet each instance read the document of shares several times and tried to write it; all but one lost the compare-and-swap.

Change: decide/claim decides when the document is read: by the holder, by the instance that comes first by weight and address while there is none, by the others at their start and every 15 s as before. If the first is lost, leaves, is cut from the store or does not claim for 15 s, the next one does. A holder that leaves is followed without waiting for the next read of 15 s. The fleet of the scenarios does the same.

Tried first: no reads of the others while a mate holds.

--- a/src/daemon/loops.cc
+++ b/src/daemon/loops.cc
@@ -21,8 +21,10 @@
   std::chrono::milliseconds(500); // after a failed call or an absent key
 // Time after which an instance that does not watch checks again whether it should.
 constexpr Duration kWatcherCheckInterval = std::chrono::milliseconds(300);
-constexpr Duration kShareReadInterval =
-  std::chrono::seconds(15); // while another instance holds the data centre's shares
+constexpr Duration kClaimRetryInterval =
+  std::chrono::seconds(1); // while a former holder's lease runs
+// Time after which an instance checks again whether it should read the shares document.
+constexpr Duration kClaimCheckInterval = std::chrono::milliseconds(300);
 constexpr Duration kConflictRetryInterval = std::chrono::milliseconds(50);
 constexpr Duration kInstanceListInterval = std::chrono::seconds(10);
 constexpr Duration kAnnounceInterval = store::kAnnouncementTtl / 3;
@@ -264,14 +266,12 @@
 {
   bool hadPool = false;
   while (!mCore.mStopped) {
-    Duration delay = kConflictRetryInterval;
-    if (mCore.Config()) {
+    Duration delay = kClaimCheckInterval;
+    if (mCore.Config() && mClaim.IsDue(mCore.Status(), mCore.mMembers, mCore.Now())) {
       try {
         bool renewed = co_await RenewSharesOnce();
-        bool otherHolds =
-          mCore.mShares.OtherHolderAlive(mCore.Now()) && !mCore.mShares.IsHolder();
         Duration interval =
-          otherHolds ? kShareReadInterval : mCore.mSettings.mRenewInterval;
+          mCore.mShares.IsHolder() ? mCore.mSettings.mRenewInterval : kClaimRetryInterval;
         delay = renewed ? interval : kConflictRetryInterval;
       } catch (const std::exception& error) {
         spdlog::debug("failed to renew shares: {}", error.what());
--- a/src/daemon/loops.h
+++ b/src/daemon/loops.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <set>
 
+#include "decide/claim.h"
 #include "entry/admission.h"
 #include "entry/backend.h"
 #include "entry/core.h"
@@ -89,6 +90,7 @@
   entry::Relay& mRelay;
   entry::Listener& mListener;
   store::Store& mStore;
+  decide::ShareClaim mClaim;
   std::set<std::string> mAlivePeers;
   std::set<std::string> mHeartbeatsInFlight; // addresses with a heartbeat in flight
   std::uint64_t mConfigVersion = 0;
--- a/tests/world/world.cc
+++ b/tests/world/world.cc
@@ -24,7 +24,8 @@
 constexpr Duration kTickInterval = std::chrono::milliseconds(100);
 constexpr Duration kProbeInterval = std::chrono::milliseconds(500);
 constexpr Duration kPollInterval = std::chrono::milliseconds(500);
-constexpr Duration kMemberReadInterval = std::chrono::seconds(15);
+constexpr Duration kClaimCheckInterval = std::chrono::milliseconds(300);
+constexpr Duration kClaimRetryInterval = std::chrono::seconds(1);
 // Token requests to other instances, and the wait for own tokens.
 constexpr Duration kTokenRequestPause = std::chrono::milliseconds(20);
 constexpr Duration kTokenRequestTimeout = std::chrono::milliseconds(60);
@@ -94,6 +95,7 @@
   Instant mDriftChangedAt{};     // simulated time of that change
   std::vector<Action> mBacklog;
   std::optional<ShareHolder> mShares;
+  ShareClaim mClaim;
   std::optional<Members> mMembers;
   std::optional<Steering> mSteer;
   std::optional<TicketLedger> mLedger;
@@ -254,6 +256,7 @@
   node.mWaiters.clear();
   Incarnation self{ node.mAddress, ++mLastIncarnation };
   node.mShares.emplace(self, node.mDataCentre);
+  node.mClaim = {};
   node.mMembers.emplace(node.mAddress, node.mDataCentre);
   node.mSteer.emplace(node.mDataCentre);
   node.mLedger.emplace(
@@ -426,6 +429,7 @@
   status.mReady = node.mAcceptor->Current() != nullptr;
   status.mLeaving = node.mLeaving;
   status.mHoldsShares = node.mShares->IsHolder();
+  status.mHasStorePath = Connected(node.mDataCentre, "store") && mStore->mMode != "down";
   status.mRevision = status.mReady ? node.mAcceptor->Current()->mRevision : 0;
   status.mFreeSlots = node.mSteer->FreeSlotsByService(Origin::Local, NodeNow(aNode));
   status.mRemoteSlots = node.mSteer->FreeSlotsByService(Origin::Remote, NodeNow(aNode));
@@ -579,7 +583,7 @@
 }
 
 // Renews the instance's shares by a compare-and-swap of the share document in the store.
-// Instances that hold no shares while a living holder exists read it less often.
+// One instance of each data centre does; the others read the document at their start.
 void World::RenewShares(std::size_t aNode)
 {
   Node& node = *mNodes[aNode];
@@ -592,6 +596,10 @@
     ScheduleOnNode(
       aNode, mNodes[aNode]->mGeneration, aDelay, [this, aNode] { RenewShares(aNode); });
   };
+  if (!node.mClaim.IsDue(StatusOf(aNode), *node.mMembers, NodeNow(aNode))) {
+    again(kClaimCheckInterval);
+    return;
+  }
   std::string key(ShareDocument::kKey);
   StoreRead(aNode, key, [=, this](bool aOk, std::uint64_t aVersion, std::string aText) {
     Node& self = *mNodes[aNode];
@@ -603,9 +611,7 @@
                           NodeNow(aNode));
     auto planned = self.mShares->PlanWrite(NodeNow(aNode));
     if (!planned) {
-      bool member =
-        self.mShares->OtherHolderAlive(NodeNow(aNode)) && !self.mShares->IsHolder();
-      again(member ? kMemberReadInterval : kRenewInterval);
+      again(kClaimRetryInterval);
       return;
     }
     StoreSwap(
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "decide/accept.h"
+#include "decide/claim.h"
 #include "decide/config.h"
 #include "decide/fair.h"
 #include "decide/member.h"
