share.cc parted: the document, the division of a total, leases, loans

The document (share_document), the division into floors and pool (division), leases (lease.h) and tokens lent (loans) are modules of their own; share.cc keeps what a holder may spend and writes.

--- a/src/decide/share.cc
+++ b/src/decide/share.cc
@@ -2,54 +2,16 @@
 
 #include <algorithm>
 
-#include <nlohmann/json.hpp>
-
 namespace vanillaloft::decide {
 
 namespace {
 
-using nlohmann::json;
-
 constexpr double kDemandSmoothing = 0.5; // weight of the newest interval
-// Demand is recorded in hundredths of a token.
-constexpr std::uint64_t kDemandUnitsPerToken = 100;
-constexpr MicroTokens kMinPoolShareBurst =
-  4 * kToken; // smaller ones go to the preferred holder
 constexpr Duration kDemandInterval = std::chrono::seconds(1);
-// At most a sixth of the burst is reserved for tokens in flight.
-constexpr MicroTokens kTokenLifeBurstDivisor = 6;
 // A quarter of a share's burst is kept from loans that need not be given.
 constexpr MicroTokens kLendReserveDivisor = 4;
 constexpr MicroTokens kMicrosecondsPerSecond = 1'000'000;
 
-Rate Fraction(Rate aWhole, std::int64_t aCount, std::int64_t aOf)
-{
-  return { aWhole.mPerSecond * aCount / aOf, aWhole.mBurst * aCount / aOf };
-}
-
-Rate Sum(Rate aLeft, Rate aRight)
-{
-  return { aLeft.mPerSecond + aRight.mPerSecond, aLeft.mBurst + aRight.mBurst };
-}
-
-// The floor of one data centre. A floor below one token would admit nothing, so a small
-// budget has no floors and its total is the pool.
-Rate FloorOf(const Config& aConfig, Rate aUsable)
-{
-  auto centres = static_cast<std::int64_t>(aConfig.mDataCentres.size());
-  Rate floor = Fraction(aUsable, aConfig.mFloorPercent, 100 * centres);
-  return floor.mBurst < kToken ? Rate{} : floor;
-}
-
-// What remains of the total after the floors of all data centres.
-Rate PoolOf(const Config& aConfig, Rate aUsable)
-{
-  auto centres = static_cast<std::int64_t>(aConfig.mDataCentres.size());
-  Rate floors = FloorOf(aConfig, aUsable);
-  return { aUsable.mPerSecond - floors.mPerSecond * centres,
-           aUsable.mBurst - floors.mBurst * centres };
-}
-
 // Parts of a token are not lent ahead: they would lapse unused.
 MicroTokens WholeTokens(MicroTokens aAmount)
 {
@@ -63,93 +25,8 @@
   std::string mAddress;
 };
 
-std::uint64_t ValueOr0(const std::map<std::string, std::uint64_t>& aMap,
-                       const std::string& aKey)
-{
-  auto found = aMap.find(aKey);
-  return found == aMap.end() ? 0 : found->second;
-}
-
-PerMille PoolOfRecord(const ShareRecord& aRecord, const std::string& aKey)
-{
-  auto found = aRecord.mPool.find(aKey);
-  return found == aRecord.mPool.end() ? 0 : found->second;
-}
-
 } // namespace
 
-// Buckets refill by their holders' clocks, which may be fast, so the rate is reduced by
-// the bound on drift. The bucket of a token in flight refills meanwhile, so the burst is
-// reduced by the refill within the longest token life. Both together keep every window
-// within the total.
-UsableBudget UsableBudgetOf(Rate aTotal)
-{
-  Rate usable{ aTotal.mPerSecond * 1000 / (1000 + kDriftPerMille), aTotal.mBurst };
-  if (usable.mPerSecond <= 0) {
-    return { usable, kMaxTokenLife };
-  }
-  Duration reserved(usable.mBurst / kTokenLifeBurstDivisor * kMicrosecondsPerSecond /
-                    usable.mPerSecond);
-  Duration life = std::min(kMaxTokenLife, reserved);
-  usable.mBurst -= usable.mPerSecond * life.count() / kMicrosecondsPerSecond;
-  return { usable, life };
-}
-
-std::string BudgetKey(const Budget& aBudget)
-{
-  constexpr std::array<const char*, 3> kKinds = { "organisation:", "link:", "spill:" };
-  return kKinds.at(static_cast<std::size_t>(aBudget.mKind)) + aBudget.mName;
-}
-
-const ShareRecord* ShareDocument::Find(const Incarnation& aHolder) const
-{
-  auto found = std::ranges::find(mRecords, aHolder, &ShareRecord::mHolder);
-  return found == mRecords.end() ? nullptr : &*found;
-}
-
-PerMille ShareDocument::PoolInUse(const std::string& aBudget) const
-{
-  PerMille sum = 0;
-  for (const ShareRecord& record : mRecords) {
-    sum += PoolOfRecord(record, aBudget);
-  }
-  return sum;
-}
-
-ShareDocument ShareDocument::Parse(std::string_view aText)
-{
-  ShareDocument document;
-  json value = json::parse(aText);
-  document.mWrites = value.at("writes").get<std::uint64_t>();
-  for (const json& entry : value.at("records")) {
-    ShareRecord record;
-    record.mDataCentre = entry.at("data_centre").get<std::string>();
-    record.mHolder.mAddress = entry.at("address").get<std::string>();
-    record.mHolder.mStartId = entry.at("start").get<std::uint64_t>();
-    record.mSequence = entry.at("sequence").get<std::uint64_t>();
-    record.mFloor = entry.at("floor").get<bool>();
-    record.mPool = entry.at("pool").get<std::map<std::string, PerMille>>();
-    record.mDemand = entry.at("demand").get<std::map<std::string, std::uint64_t>>();
-    document.mRecords.push_back(std::move(record));
-  }
-  return document;
-}
-
-std::string ShareDocument::Text() const
-{
-  json records = json::array();
-  for (const ShareRecord& record : mRecords) {
-    records.push_back({ { "data_centre", record.mDataCentre },
-                        { "address", record.mHolder.mAddress },
-                        { "start", record.mHolder.mStartId },
-                        { "sequence", record.mSequence },
-                        { "floor", record.mFloor },
-                        { "pool", record.mPool },
-                        { "demand", record.mDemand } });
-  }
-  return json{ { "writes", mWrites }, { "records", records } }.dump();
-}
-
 void ShareHolder::SetConfig(ConfigPtr aConfig, Instant aNow)
 {
   std::map<std::string, std::size_t> before;
@@ -260,7 +137,7 @@
 {
   mRecord->mFloor = mRecord->mFloor && aTo.mFloor;
   for (auto& [key, poolShare] : mRecord->mPool) {
-    poolShare = std::min(poolShare, PoolOfRecord(aTo, key));
+    poolShare = std::min(poolShare, PoolShareOf(aTo, key));
   }
 }
 
@@ -321,49 +198,6 @@
   });
 }
 
-// The holder that gets the rest of a pool after the shares of the others: the one with
-// the largest demand. The holder of more than half of the pool is replaced only by one
-// with more than twice its demand and a token per second, because nobody holds the pool
-// until the new holder renews, whose bucket is then empty.
-const ShareRecord* ShareHolder::PreferredHolder(const ShareDocument& aDocument,
-                                                const std::string& aKey) const
-{
-  auto weight = [&](const ShareRecord& aRecord) {
-    std::uint64_t demand = ValueOr0(aRecord.mDemand, aKey);
-    bool holdsMost = PoolOfRecord(aRecord, aKey) > kWholePool / 2;
-    return holdsMost ? 2 * demand + kDemandUnitsPerToken : demand;
-  };
-  auto preferred = std::ranges::max_element(aDocument.mRecords, {}, weight);
-  return preferred == aDocument.mRecords.end() ? nullptr : &*preferred;
-}
-
-// The share of the pool for this data centre by its demand. A share with a burst of few
-// tokens serves requests poorly, so a small pool goes undivided to the preferred holder.
-PerMille ShareHolder::TargetPoolShare(const ShareDocument& aDocument,
-                                      const std::string& aKey,
-                                      Rate aPool) const
-{
-  const ShareRecord* preferred = PreferredHolder(aDocument, aKey);
-  std::uint64_t sum = 0;
-  for (const ShareRecord& record : aDocument.mRecords) {
-    sum += ValueOr0(record.mDemand, aKey);
-  }
-  PerMille assigned = 0;
-  PerMille own = 0;
-  for (const ShareRecord& record : aDocument.mRecords) {
-    std::uint64_t poolShare = sum == 0
-                                ? kWholePool / mConfig->mDataCentres.size()
-                                : ValueOr0(record.mDemand, aKey) * kWholePool / sum;
-    bool useful = aPool.mBurst * static_cast<MicroTokens>(poolShare) / kWholePool >=
-                  kMinPoolShareBurst;
-    poolShare = useful && &record != preferred ? poolShare : 0;
-    assigned += static_cast<PerMille>(poolShare);
-    own = record.mHolder == mSelf ? static_cast<PerMille>(poolShare) : own;
-  }
-  bool isPreferred = preferred && preferred->mHolder == mSelf;
-  return isPreferred ? kWholePool - assigned : own;
-}
-
 std::map<std::string, std::uint64_t> ShareHolder::MeasuredDemand(Instant aNow)
 {
   Duration interval = aNow - mDemandSince;
@@ -414,11 +248,12 @@
   next.mRecords.push_back(own);
   ShareRecord& mine = next.mRecords.back();
   for (std::size_t i = 0; i < mKeys.size(); ++i) {
-    PerMille held = PoolOfRecord(mine, mKeys[i]);
+    PerMille held = PoolShareOf(mine, mKeys[i]);
     PerMille used = next.PoolInUse(mKeys[i]);
     PerMille free = used < kWholePool && MayIncrease(aNow) ? kWholePool - used : 0;
     Rate pool = PoolOf(*mConfig, UsableBudgetOf(mConfig->mBudgets[i].mTotal).mRate);
-    PerMille poolShare = std::min(TargetPoolShare(next, mKeys[i], pool), held + free);
+    PerMille poolShare =
+      std::min(TargetPoolShare(*mConfig, next, mSelf, mKeys[i], pool), held + free);
     mine.mPool[mKeys[i]] = poolShare;
   }
   if (mRecord) {
@@ -490,7 +325,7 @@
     share = FloorOf(*mConfig, usable);
   }
   if (HoldsPool(aNow)) {
-    PerMille poolShare = PoolOfRecord(*mRecord, mKeys[aBudget.Value()]);
+    PerMille poolShare = PoolShareOf(*mRecord, mKeys[aBudget.Value()]);
     share = Sum(share, Fraction(PoolOf(*mConfig, usable), poolShare, kWholePool));
   }
   return share;
@@ -526,10 +361,11 @@
   }
   ApplyExpiry(aNow);
   Bucket& bucket = mBuckets[aBudget.Value()];
-  if (LoanLevel(aBudget, aNow) + bucket.Level(aNow) < aAmount) {
+  Loans& loans = mLoans[aBudget.Value()];
+  if (loans.Level(aNow) + bucket.Level(aNow) < aAmount) {
     return false;
   }
-  MicroTokens borrowed = TakeLoans(aBudget, aAmount);
+  MicroTokens borrowed = loans.Take(aAmount);
   return bucket.Take(aAmount - borrowed, aNow);
 }
 
@@ -555,35 +391,7 @@
                           Instant aUntil,
                           Instant aNow)
 {
-  if (aUntil <= aNow || aAmount <= 0) {
-    return;
-  }
-  std::vector<Loan>& loans = mLoans[aBudget.Value()];
-  auto after = std::ranges::upper_bound(loans, aUntil, {}, &Loan::mUntil);
-  loans.insert(after, { aAmount, aUntil });
-}
-
-// Removes loans that lapsed and returns the sum of the others.
-MicroTokens ShareHolder::LoanLevel(BudgetId aBudget, Instant aNow)
-{
-  std::vector<Loan>& loans = mLoans[aBudget.Value()];
-  std::erase_if(loans, [aNow](const Loan& aLoan) { return aNow >= aLoan.mUntil; });
-  MicroTokens level = 0;
-  for (const Loan& loan : loans) {
-    level += loan.mAmount;
-  }
-  return level;
-}
-
-MicroTokens ShareHolder::TakeLoans(BudgetId aBudget, MicroTokens aAmount)
-{
-  MicroTokens taken = 0;
-  for (Loan& loan : mLoans[aBudget.Value()]) {
-    MicroTokens part = std::min(loan.mAmount, aAmount - taken);
-    loan.mAmount -= part;
-    taken += part;
-  }
-  return taken;
+  mLoans[aBudget.Value()].Add(aAmount, aUntil, aNow);
 }
 
 MicroTokens ShareHolder::Shortfall(BudgetId aBudget, Duration aTime, Instant aNow) const
@@ -622,13 +430,13 @@
 {
   Rate usable = UsableBudgetOf(mConfig->mBudgets[aBudget.Value()].mTotal).mRate;
   Rate floor = aRecord.mFloor ? FloorOf(*mConfig, usable) : Rate{};
-  PerMille pool = PoolOfRecord(aRecord, mKeys[aBudget.Value()]);
+  PerMille pool = PoolShareOf(aRecord, mKeys[aBudget.Value()]);
   return Sum(floor, Fraction(PoolOf(*mConfig, usable), pool, kWholePool));
 }
 
 MicroTokens ShareHolder::SpareRateOf(const ShareRecord& aRecord, BudgetId aBudget) const
 {
-  std::uint64_t hundredths = ValueOr0(aRecord.mDemand, mKeys[aBudget.Value()]);
+  std::uint64_t hundredths = DemandOf(aRecord, mKeys[aBudget.Value()]);
   auto demand = static_cast<MicroTokens>(hundredths * (kToken / kDemandUnitsPerToken));
   return HeldBy(aRecord, aBudget).mPerSecond - demand;
 }
--- a/src/decide/share.h
+++ b/src/decide/share.h
@@ -13,102 +13,18 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include "base/types.h"
 #include "decide/bucket.h"
 #include "decide/config.h"
+#include "decide/division.h"
+#include "decide/lease.h"
+#include "decide/loans.h"
+#include "decide/share_document.h"
 
 namespace vanillaloft::decide {
 
-// A share of a budget's pool, in thousandths.
-using PerMille = std::uint32_t;
-constexpr PerMille kWholePool = 1000;
-
-// Lease of a pool share, counted from the time at which the write that recorded it was
-// sent.
-constexpr Duration kPoolLease = std::chrono::seconds(9);
-// Lease of a floor, counted in the same way.
-constexpr Duration kFloorLease = std::chrono::hours(2);
-// A new instance claims no share for this long. If the store came back empty or with an
-// older state, the live holders that reach it repair the document meanwhile.
-constexpr Duration kNewHolderWait = std::chrono::seconds(3);
-constexpr Duration kRenewInterval = std::chrono::seconds(2);
-// Bound on how much a clock runs fast or slow.
-constexpr int kDriftPerMille = 10;
-// Longest time from the debit of a token at its holder to its use, at whichever instance.
-constexpr Duration kMaxTokenLife = std::chrono::milliseconds(120);
-
-// The lease as its holder counts it: shorter, because the holder's clock may be slow.
-constexpr Duration HolderLease(Duration aLease)
-{
-  return aLease * (1000 - kDriftPerMille) / 1000;
-}
-
-// Time after which another instance may reclaim a share: longer than the lease, because
-// that instance's clock may be fast.
-constexpr Duration ReclaimDelay(Duration aLease)
-{
-  return aLease * (1000 + kDriftPerMille) / 1000;
-}
-
-// The part of a budget's total that may be divided into shares, and the longest life of
-// its tokens in flight.
-struct UsableBudget
-{
-  Rate mRate;
-  Duration mTokenLife{};
-};
-
-UsableBudget UsableBudgetOf(Rate aTotal);
-
-// Lease of tokens that a holder lends to another instance, counted by the borrower from
-// before it asked. A borrower that is a holder may pass them on within this lease.
-constexpr Duration LoanLease(const UsableBudget& aUsable)
-{
-  return aUsable.mTokenLife * 2 / 3;
-}
-
-// Lease of tokens that an instance gets from the holder of its data centre, which may
-// have borrowed them. Together with LoanLease it is at most the life of a token.
-constexpr Duration RelayLease(const UsableBudget& aUsable)
-{
-  return aUsable.mTokenLife / 3;
-}
-
-// The record of one holder in the document.
-struct ShareRecord
-{
-  std::string mDataCentre;
-  Incarnation mHolder;
-  std::uint64_t mSequence = 0;                  // increases with each renewal
-  bool mFloor = false;                          // holds the floor of its data centre
-  std::map<std::string, PerMille> mPool;        // by budget key
-  std::map<std::string, std::uint64_t> mDemand; // hundredths of a token per second
-};
-
-struct ShareDocument
-{
-  // Increases with each write, so that an older state of the document is recognised.
-  std::uint64_t mWrites = 0;
-  std::vector<ShareRecord> mRecords;
-
-  static constexpr std::string_view kKey = "vanillaloft/shares";
-
-  const ShareRecord* Find(const Incarnation& aHolder) const;
-  PerMille PoolInUse(const std::string& aBudget) const;
-
-  // Parses the JSON text. Throws an exception derived from std::exception if the text is
-  // not a share document.
-  static ShareDocument Parse(std::string_view aText);
-  std::string Text() const;
-};
-
-// The key of a budget in the document. It contains the name, because the indexes of
-// budgets are valid for one configuration revision only.
-std::string BudgetKey(const Budget& aBudget);
-
 // Computes what this instance may spend and what it writes to the document. It does no
 // input or output: the caller reads and writes the store and reports the results.
 class ShareHolder
@@ -196,13 +112,6 @@
   std::uint64_t ReclaimCount() const { return mReclaimed; }
 
 private:
-  // Tokens that another holder lent.
-  struct Loan
-  {
-    MicroTokens mAmount = 0;
-    Instant mUntil{};
-  };
-
   // When this instance first read the current sequence of another holder's record.
   struct Observation
   {
@@ -218,19 +127,12 @@
   void UpdateObservations(Instant aNow);
   void DropExpired(ShareDocument& aDocument, Instant aNow);
   bool FloorIsFree(const ShareDocument& aDocument) const;
-  PerMille TargetPoolShare(const ShareDocument& aDocument,
-                           const std::string& aKey,
-                           Rate aPool) const;
-  const ShareRecord* PreferredHolder(const ShareDocument& aDocument,
-                                     const std::string& aKey) const;
   void LowerShare(const ShareRecord& aTo);
   void ApplyExpiry(Instant aNow);
   void UpdateBucketRates(Instant aNow);
   Rate ShareOf(BudgetId aBudget, Instant aNow) const;
   MicroTokens SpareRateOf(const ShareRecord& aRecord, BudgetId aBudget) const;
   Rate HeldBy(const ShareRecord& aRecord, BudgetId aBudget) const;
-  MicroTokens LoanLevel(BudgetId aBudget, Instant aNow);
-  MicroTokens TakeLoans(BudgetId aBudget, MicroTokens aAmount);
   std::map<std::string, std::uint64_t> MeasuredDemand(Instant aNow);
 
   Incarnation mSelf;
@@ -238,7 +140,7 @@
   Duration mNewHolderWait;
   ConfigPtr mConfig;
   std::vector<Bucket> mBuckets;
-  std::vector<std::vector<Loan>> mLoans;     // by BudgetId, the first to lapse first
+  std::vector<Loans> mLoans;                 // by BudgetId
   std::vector<std::string> mKeys;            // keys of the budgets, by BudgetId
   std::vector<double> mDemand;               // tokens per second, smoothed
   std::vector<MicroTokens> mRequestedTokens; // requested since mDemandSince
