One lost answer does not keep an instance from all tokens

Cause: a question that is not answered in time makes a holder suspect for 500 ms, for all organisations. A holder that asked up to four others one after the other, 26 to 100 ms each, for a mate answered after the mate had given up; an instance that was held up for 100 ms lost the answers of all holders at once. With all of them suspect nobody was asked.

Now a holder is passed over for 40 ms at first, doubled with each failure that follows, and is forgiven with its first answer; if all are suspect, one is asked all the same. A holder asks others only within its mate's wait and leaves time for its own answer.

Three tests, each seen failing with the former tokens.cc.

--- a/src/decide/share.cc
+++ b/src/decide/share.cc
@@ -441,10 +441,14 @@
   return HeldBy(aRecord, aBudget).mPerSecond - demand;
 }
 
-bool ShareHolder::OthersMaySpare(BudgetId aBudget) const
+bool ShareHolder::OthersMaySpare(BudgetId aBudget,
+                                 const std::vector<std::string>& aExcept) const
 {
   return std::ranges::any_of(mDocument.mRecords, [&](const ShareRecord& aRecord) {
-    return aRecord.mHolder != mSelf && SpareRateOf(aRecord, aBudget) > 0;
+    const std::string& address = aRecord.mHolder.mAddress;
+    bool considered =
+      aRecord.mHolder != mSelf && std::ranges::find(aExcept, address) == aExcept.end();
+    return considered && SpareRateOf(aRecord, aBudget) > 0;
   });
 }
 
--- a/src/decide/share.h
+++ b/src/decide/share.h
@@ -79,8 +79,9 @@
   // Whole tokens that the demand of this data centre needs within a duration beyond what
   // its share refills; zero if this instance is no holder.
   MicroTokens Shortfall(BudgetId aBudget, Duration aTime, Instant aNow) const;
-  // True if by the document another holder's share refills faster than its demand.
-  bool OthersMaySpare(BudgetId aBudget) const;
+  // True if by the document another holder's share refills faster than its demand. Does
+  // not consider the holders at some addresses.
+  bool OthersMaySpare(BudgetId aBudget, const std::vector<std::string>& aExcept) const;
   // Returns tokens that were debited here or at another holder for a request that did not
   // run. They are lost if this instance holds no share of the budget.
   void Refund(BudgetId aBudget, MicroTokens aAmount, Instant aNow);
--- a/src/entry/tokens.cc
+++ b/src/entry/tokens.cc
@@ -13,13 +13,21 @@
 constexpr std::size_t kMaxHoldersAsked = 4; // of other data centres, in one round
 // Time without requests to holders after none had tokens.
 constexpr Duration kPause = milliseconds(40);
-// Time for which a holder that did not answer is passed over.
-constexpr Duration kSuspectTime = milliseconds(500);
+// Time for which a holder that did not answer is passed over: at first, doubled with each
+// failure that follows, and at most. One lost answer is more often a delay of this
+// instance than the end of a holder.
+constexpr Duration kMinSuspectTime = milliseconds(40);
+constexpr Duration kMaxSuspectTime = milliseconds(640);
+constexpr unsigned kMaxFailures = 4; // that lengthen it
 constexpr Duration kMinTokenWait = milliseconds(2);
 constexpr Duration kMaxTokenWait = milliseconds(20);
 constexpr Duration kMaxMateWait = milliseconds(200);
 // Time for the request and the reply, beyond the wait that they agreed on.
 constexpr milliseconds kTokenRequestTimeout{ 100 };
+// Within this time after a mate's wait its holder gives up its own question, so that the
+// mate hears an answer.
+constexpr Duration kLastAnswerTime = milliseconds(70);
+constexpr milliseconds kMinAnswerTime{ 40 };
 // Demand for which tokens are borrowed ahead.
 constexpr Duration kBorrowAhead = milliseconds(100);
 // Largest number of micro-tokens in one request; far above what any request needs.
@@ -40,6 +48,14 @@
   return std::chrono::duration_cast<milliseconds>(std::max(aTime, Duration::zero()));
 }
 
+// Time for one question to another holder on behalf of requests that wait until aUntil.
+milliseconds AnswerTimeout(Instant aNow, Instant aUntil)
+{
+  return std::clamp(ToMilliseconds(aUntil + kLastAnswerTime - aNow),
+                    kMinAnswerTime,
+                    kTokenRequestTimeout);
+}
+
 } // namespace
 
 class Tokens::WaitingGuard
@@ -94,8 +110,16 @@
 // them from there, so most of the known ones seem to have timed out.
 bool Tokens::IsSuspect(const std::string& aHolder) const
 {
-  auto found = mSuspectUntil.find(aHolder);
-  return found != mSuspectUntil.end() && mCore.Now() < found->second;
+  auto found = mSuspects.find(aHolder);
+  return found != mSuspects.end() && mCore.Now() < found->second.mUntil;
+}
+
+void Tokens::RecordFailure(const std::string& aHolder)
+{
+  Suspicion& suspicion = mSuspects[aHolder];
+  Duration time = kMinSuspectTime * (1U << suspicion.mFailures);
+  suspicion.mUntil = mCore.Now() + std::min(time, kMaxSuspectTime);
+  suspicion.mFailures = std::min(suspicion.mFailures + 1, kMaxFailures);
 }
 
 // Heartbeats tell of a new holder sooner than the share document, which an instance that
@@ -119,10 +143,16 @@
 {
   std::vector<std::string> holders = mCore.mShares.TokenSources(aBudget);
   auto isSuspect = [this](const std::string& aHolder) { return IsSuspect(aHolder); };
+  if (std::ranges::all_of(holders, isSuspect)) {
+    mCore.mMembers.AddShareHolders(holders, mCore.Now());
+  }
+  if (holders.empty()) {
+    return holders;
+  }
+  std::string first = holders.front();
   std::erase_if(holders, isSuspect);
   if (holders.empty()) {
-    mCore.mMembers.AddShareHolders(holders, mCore.Now());
-    std::erase_if(holders, isSuspect);
+    holders.push_back(first);
   }
   holders.resize(std::min(holders.size(), kMaxHoldersAsked));
   return holders;
@@ -164,6 +194,7 @@
   try {
     auto reply =
       co_await mCore.mPeers.AskToken(aHolder, request, wait + kTokenRequestTimeout);
+    mSuspects.erase(aHolder);
     want->mOthersMaySpare = reply.others_may_spare();
     if (!reply.given()) {
       want->mPausedUntil = mCore.Now() + kPause;
@@ -182,12 +213,14 @@
     co_return true;
   } catch (const peer::PeerError&) {
     want->mDemand += told;
-    mSuspectUntil[aHolder] = mCore.Now() + kSuspectTime;
+    RecordFailure(aHolder);
     co_return false;
   }
 }
 
-Awaitable<bool> Tokens::AskOtherHolders(decide::BudgetId aBudget, MicroTokens aAmount)
+Awaitable<bool> Tokens::AskOtherHolders(decide::BudgetId aBudget,
+                                        MicroTokens aAmount,
+                                        Instant aUntil)
 {
   decide::ConfigPtr config = mCore.Config();
   const decide::Budget& budget = config->mBudgets[aBudget.Value()];
@@ -201,11 +234,17 @@
   request.set_micro_tokens(ToWire(aAmount));
   request.set_extra_micro_tokens(ToWire(want->mWaiting - aAmount + ahead));
   request.set_data_centre(mCore.mSettings.mDataCentre);
-  want->mOthersMaySpare = false;
+  std::vector<std::string> refusedBy;
+  bool answered = true;
   for (const std::string& holder : OtherHolders(aBudget)) {
     Instant askedAt = mCore.Now();
+    if (!refusedBy.empty() && askedAt >= aUntil) {
+      break;
+    }
+    milliseconds timeout = AnswerTimeout(askedAt, aUntil);
     try {
-      auto reply = co_await mCore.mPeers.AskToken(holder, request, kTokenRequestTimeout);
+      auto reply = co_await mCore.mPeers.AskToken(holder, request, timeout);
+      mSuspects.erase(holder);
       if (config != mCore.Config()) {
         co_return false; // the index may refer to another budget now
       }
@@ -214,13 +253,22 @@
           std::min(Bounded(reply.extra_micro_tokens()),
                    static_cast<MicroTokens>(request.extra_micro_tokens()));
         mCore.mShares.AddLoan(aBudget, aAmount + extra, askedAt + lease, mCore.Now());
+        want->mOthersMaySpare = false;
         co_return true;
       }
+      refusedBy.push_back(holder);
     } catch (const peer::PeerError&) {
-      want->mOthersMaySpare = true;
-      mSuspectUntil[holder] = mCore.Now() + kSuspectTime;
+      answered = false;
+      if (timeout == kTokenRequestTimeout) {
+        RecordFailure(holder);
+      }
     }
   }
+  if (config == mCore.Config()) {
+    bool unheard = refusedBy.empty() && !mCore.mShares.IsHolder();
+    want->mOthersMaySpare =
+      !answered || unheard || mCore.mShares.OthersMaySpare(aBudget, refusedBy);
+  }
   co_return false;
 }
 
@@ -236,7 +284,7 @@
       co_return;
     }
   }
-  bool given = co_await AskOtherHolders(aBudget, aAmount);
+  bool given = co_await AskOtherHolders(aBudget, aAmount, aUntil);
   if (!given) {
     want->mPausedUntil = mCore.Now() + kPause;
   }
@@ -342,8 +390,10 @@
 bool Tokens::OthersMaySpare(decide::BudgetId aBudget) const
 {
   auto want = mWants.find(KeyOf(aBudget));
-  bool byAnswers = want != mWants.end() && want->second->mOthersMaySpare;
-  return byAnswers || (mCore.mShares.IsHolder() && mCore.mShares.OthersMaySpare(aBudget));
+  if (want != mWants.end() && want->second->mOthersMaySpare) {
+    return *want->second->mOthersMaySpare;
+  }
+  return !mCore.mShares.IsHolder() || mCore.mShares.OthersMaySpare(aBudget, {});
 }
 
 } // namespace vanillaloft::entry
--- a/src/entry/tokens.h
+++ b/src/entry/tokens.h
@@ -30,19 +30,25 @@
   // and waits for them; others get only tokens of the share held here.
   Awaitable<peer::wire::TokenReply> Give(peer::wire::TokenRequest aRequest);
 
-  // True if the last refusal of a budget was made although another holder may have had
-  // tokens, by the share document or because a holder did not answer.
+  // True if another holder may have tokens of a budget: in the last round of questions
+  // one did not answer, or one that was not asked has a spare rate by the share document.
   bool OthersMaySpare(decide::BudgetId aBudget) const;
 
 private:
   // State of one budget.
   struct Want
   {
-    decide::MicroTokens mWaiting = 0; // of the requests that wait for tokens
-    decide::MicroTokens mDemand = 0;  // not yet told to the holder of the data centre
-    bool mAsking = false;             // a request asks holders, on behalf of all
-    bool mOthersMaySpare = false;     // by the last answer
-    Instant mPausedUntil{};           // holders had no tokens and are not asked
+    decide::MicroTokens mWaiting = 0;    // of the requests that wait for tokens
+    decide::MicroTokens mDemand = 0;     // not yet told to the holder of the data centre
+    bool mAsking = false;                // a request asks holders, on behalf of all
+    std::optional<bool> mOthersMaySpare; // by the last round, if there was one
+    Instant mPausedUntil{};              // holders had no tokens and are not asked
+  };
+  // A holder that did not answer.
+  struct Suspicion
+  {
+    Instant mUntil{};
+    unsigned mFailures = 0; // in sequence
   };
   // Shared with the coroutines, which may be destroyed after this object at the end of
   // the process.
@@ -67,12 +73,19 @@
                                 decide::BudgetId aBudget,
                                 decide::MicroTokens aAmount,
                                 Instant aUntil);
-  Awaitable<bool> AskOtherHolders(decide::BudgetId aBudget, decide::MicroTokens aAmount);
+  // Asks until aUntil, and at least one holder. The last answer is awaited a little
+  // longer, but not so long that an instance which this one asks for would give up.
+  Awaitable<bool> AskOtherHolders(decide::BudgetId aBudget,
+                                  decide::MicroTokens aAmount,
+                                  Instant aUntil);
   // Address of the holder of this data centre; empty if this instance is the holder, or
   // if none is known that answers.
   std::string MateHolder() const;
+  // Addresses of holders to ask. Those that did not answer lately are left out, but for
+  // one if there are no others.
   std::vector<std::string> OtherHolders(decide::BudgetId aBudget);
   bool IsSuspect(const std::string& aHolder) const;
+  void RecordFailure(const std::string& aHolder);
   bool WouldWaitTooLong(decide::BudgetId aBudget,
                         decide::MicroTokens aAmount,
                         Duration aWait) const;
@@ -80,8 +93,8 @@
   WantPtr WantOf(decide::BudgetId aBudget);
 
   Core& mCore;
-  std::map<std::string, WantPtr> mWants;        // by budget key
-  std::map<std::string, Instant> mSuspectUntil; // by address of a holder
+  std::map<std::string, WantPtr> mWants;      // by budget key
+  std::map<std::string, Suspicion> mSuspects; // by address of a holder
 };
 
 } // namespace vanillaloft::entry
--- a/tests/unit/entry_tokens.cc
+++ b/tests/unit/entry_tokens.cc
@@ -64,7 +64,7 @@
 };
 
 // Serves token requests of peers with one object; other calls fail.
-struct TokenServer final : peer::Handler
+struct TokenServer : peer::Handler
 {
   explicit TokenServer(Tokens& aTokens)
     : mTokens(aTokens)
@@ -98,50 +98,158 @@
   Tokens& mTokens;
 };
 
+// Fails the first call, as if its answer were lost.
+struct LosingTokenServer final : TokenServer
+{
+  using TokenServer::TokenServer;
+  Awaitable<peer::wire::TokenReply> OnAskToken(peer::wire::TokenRequest aRequest) override
+  {
+    if (mCalls++ == 0) {
+      throw std::runtime_error("lost");
+    }
+    co_return co_await mTokens.Give(std::move(aRequest));
+  }
+  int mCalls = 0;
+};
+
+// An instance of another process than the lender, which knows it from a heartbeat and
+// from the share document.
+struct BorrowerFixture
+{
+  HolderFixture mLender;
+  Core mCore;
+  Tokens mTokens{ mCore };
+
+  BorrowerFixture(const std::string& aDataCentre, const std::string& aLenderAddress)
+    : mCore(mLender.mContext,
+            mLender.mClock,
+            { aDataCentre, { "127.0.0.1", 1 }, "127.0.0.1:3", {}, "", 30s, 10s, 60s },
+            { "127.0.0.1:3", 8 },
+            "secret")
+  {
+    mLender.mClock.Advance(2s);
+    mCore.AcceptConfig(decide::ParseConfig(kConfig));
+    decide::ShareDocument document = mLender.mCore.mShares.Document();
+    document.mRecords[0].mHolder.mAddress = aLenderAddress;
+    mCore.mShares.Observe(document, mLender.mClock.Now());
+    decide::MemberStatus status;
+    status.mSelf = { aLenderAddress, 7 };
+    status.mDataCentre = "d1";
+    status.mHoldsShares = true;
+    mCore.mMembers.RecordStatus(status, mLender.mClock.Now());
+  }
+
+  // Claims the shares of the data centre.
+  void BecomeHolder()
+  {
+    mLender.mClock.Advance(decide::kNewHolderWait);
+    mCore.mShares.Observe(mCore.mShares.Document(), mLender.mClock.Now());
+    REQUIRE(mCore.mShares.PlanWrite(mLender.mClock.Now()));
+    mCore.mShares.WriteCommitted(mLender.mClock.Now());
+  }
+
+  // Takes a token with time for one round of questions.
+  bool Take()
+  {
+    return test::RunCoroutine(
+      mLender.mContext,
+      mTokens.Take(mLender.mBudget, decide::kToken, mLender.mClock.Now()));
+  }
+
+  // Ends the server while the context runs, as its calls need it.
+  void Close(peer::Server& aServer)
+  {
+    std::thread closer([&] {
+      aServer.Close();
+      mLender.mContext.stop();
+    });
+    mLender.mContext.restart();
+    auto work = boost::asio::make_work_guard(mLender.mContext);
+    mLender.mContext.run();
+    closer.join();
+  }
+};
+
 } // namespace
 
+// Guards against an instance that refuses all organisations for half a second: it was
+// held up for 100 ms, so that no answer reached it in time, and then passed over every
+// holder.
+TEST_CASE("one lost answer does not keep an instance from all tokens")
+{
+  const std::string address = "127.0.0.1:28769";
+  for (const char* dataCentre : { "d1", "d2" }) {
+    CAPTURE(dataCentre);
+    BorrowerFixture borrower(dataCentre, address);
+    LosingTokenServer handler(borrower.mLender.mTokens);
+    peer::Server server(borrower.mLender.mContext, handler, address);
+    for (int i = 0; i < 50 && handler.mCalls == 0; ++i) { // connects the channel
+      borrower.mLender.mClock.Advance(1s);
+      CHECK_FALSE(borrower.Take());
+      std::this_thread::sleep_for(20ms);
+    }
+    borrower.mLender.mClock.Advance(60ms);
+    CHECK(borrower.Take());
+    borrower.Close(server);
+  }
+}
+
+// Guards against refusals that seem rightful in the metric: no holder had been asked.
+TEST_CASE("a refusal while no holder answers is counted as one with tokens elsewhere")
+{
+  BorrowerFixture borrower("d2", "127.0.0.1:28769");
+  for (int i = 0; i < 3; ++i) {
+    borrower.mLender.mClock.Advance(50ms);
+    CHECK_FALSE(borrower.Take());
+    CHECK(borrower.mTokens.OthersMaySpare(borrower.mLender.mBudget));
+  }
+}
+
+// Guards against a metric that rises with an organisation that is beyond its rate: the
+// document's demand is seconds old, the answers of the holders are not.
+TEST_CASE("a refusal after every holder answered that it has none is rightful")
+{
+  const std::string address = "127.0.0.1:28769";
+  BorrowerFixture borrower("d2", address);
+  LosingTokenServer handler(borrower.mLender.mTokens);
+  peer::Server server(borrower.mLender.mContext, handler, address);
+  borrower.BecomeHolder();
+  decide::BudgetId budget = borrower.mLender.mBudget;
+  base::ManualClock& clock = borrower.mLender.mClock;
+  for (int i = 0; i < 50 && handler.mCalls < 2; ++i) {
+    clock.Advance(1s);
+    for (decide::ShareHolder* shares :
+         { &borrower.mCore.mShares, &borrower.mLender.mCore.mShares }) {
+      while (shares->Debit(budget, decide::kToken, clock.Now())) {
+      }
+    }
+    CHECK_FALSE(borrower.Take());
+    std::this_thread::sleep_for(20ms);
+  }
+  CHECK_FALSE(borrower.mTokens.OthersMaySpare(budget));
+  borrower.Close(server);
+}
+
 // Guards against organisations that are refused in some data centres for minutes: a
 // holder elsewhere that sent this instance a heartbeat once, and then none because this
 // instance is not among those that get them, was not asked any more.
 TEST_CASE("a holder of another data centre is asked although its heartbeats are old")
 {
-  HolderFixture lender;
-  lender.mClock.Advance(2s);
-  TokenServer handler(lender.mTokens);
   const std::string address = "127.0.0.1:28769";
-  peer::Server server(lender.mContext, handler, address);
-  Core borrower(lender.mContext,
-                lender.mClock,
-                { "d2", { "127.0.0.1", 1 }, "127.0.0.1:3", {}, "", 30s, 10s, 60s },
-                { "127.0.0.1:3", 8 },
-                "secret");
-  borrower.AcceptConfig(decide::ParseConfig(kConfig));
-  decide::ShareDocument document = lender.mCore.mShares.Document();
-  document.mRecords[0].mHolder.mAddress = address;
-  borrower.mShares.Observe(document, lender.mClock.Now());
-  decide::MemberStatus status;
-  status.mSelf = { address, 7 };
-  status.mDataCentre = "d1";
-  borrower.mMembers.RecordStatus(status, lender.mClock.Now());
-  lender.mClock.Advance(60s);
-  REQUIRE(borrower.mMembers.TimedOut(address, lender.mClock.Now()));
-  Tokens tokens(borrower);
+  BorrowerFixture borrower("d2", address);
+  base::ManualClock& clock = borrower.mLender.mClock;
+  TokenServer handler(borrower.mLender.mTokens);
+  peer::Server server(borrower.mLender.mContext, handler, address);
+  clock.Advance(60s);
+  REQUIRE(borrower.mCore.mMembers.TimedOut(address, clock.Now()));
   bool given = false;
   for (int i = 0; i < 50 && !given; ++i) { // the first call only connects the channel
-    lender.mClock.Advance(1s);
-    given = test::RunCoroutine(
-      lender.mContext, tokens.Take(lender.mBudget, decide::kToken, lender.mClock.Now()));
+    clock.Advance(1s);
+    given = borrower.Take();
     std::this_thread::sleep_for(20ms);
   }
   CHECK(given);
-  std::thread closer([&] {
-    server.Close();
-    lender.mContext.stop();
-  });
-  lender.mContext.restart();
-  auto work = boost::asio::make_work_guard(lender.mContext);
-  lender.mContext.run();
-  closer.join();
+  borrower.Close(server);
 }
 
 TEST_CASE("borrowed tokens are given within the data centre and not to another one")
