The answer to a long body is read while the body is sent

A server may answer before it has read a long body: it refuses it and ends the connection, or goes on reading later. The answer was looked for only behind the last byte of the body, so the caller got 502 or 504, and the "not run" of a refused upload was lost. Bodies over 16 KiB are now sent and the answer read side by side. After an early answer the connection ends: nothing else can stand where the rest of the body is due.

--- a/src/net/http.cc
+++ b/src/net/http.cc
@@ -4,6 +4,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/error.hpp>
@@ -23,6 +24,8 @@
 
 constexpr std::string_view kProtocol = "HTTP/1.";
 constexpr std::size_t kReadBytes = 16UL * 1024;
+// A body up to this size fits into the socket's buffers, so it is sent at once.
+constexpr std::size_t kLongBodyBytes = 16UL * 1024;
 constexpr unsigned kMaxInterimResponses = 16; // before one final response
 constexpr unsigned kMinStatus = 100;          // lower ones are not HTTP
 constexpr unsigned kMinFinalStatus = 200;
@@ -195,22 +198,73 @@
 }
 
 template<typename Message>
-Awaitable<Response> Connection::SendAndRead(const Message& aRequest,
-                                            std::chrono::milliseconds aTimeout,
-                                            std::chrono::milliseconds aStallTimeout)
+void Connection::BeginCall(const Message& aRequest,
+                           std::chrono::milliseconds aTimeout,
+                           std::chrono::milliseconds aStallTimeout)
 {
-  Error error;
   mReusable = false;
   mLimits = { Clock::now() + aTimeout,
               aStallTimeout,
               aRequest.method() == http::verb::head };
+}
+
+template<typename Message>
+Awaitable<Response> Connection::SendAndRead(const Message& aRequest,
+                                            std::chrono::milliseconds aTimeout,
+                                            std::chrono::milliseconds aStallTimeout)
+{
+  Error error;
+  BeginCall(aRequest, aTimeout, aStallTimeout);
   mStream.expires_at(mLimits.mEnd);
+  mSending = true;
   co_await http::async_write(
     mStream, aRequest, asio::redirect_error(asio::use_awaitable, error));
+  mSending = false;
   ThrowOnError(error, Stage::Sent);
   co_return co_await ReadFinalResponse(mLimits);
 }
 
+// The time limit is that of the read. A write that fails is not reported, because the
+// response may have arrived before; if it has not, the read fails as well.
+template<typename Message>
+Awaitable<Response> Connection::SendWhileReading(const Message& aRequest,
+                                                 std::chrono::milliseconds aTimeout)
+{
+  BeginCall(aRequest, aTimeout, aTimeout);
+  auto sent = std::make_shared<asio::steady_timer>(mStream.get_executor(),
+                                                   Clock::time_point::max());
+  mStream.expires_never();
+  mSending = true;
+  http::async_write(mStream, aRequest, [this, sent](const Error&, std::size_t) {
+    mSending = false;
+    sent->cancel();
+  });
+  Response response;
+  std::exception_ptr failure;
+  try {
+    response = co_await ReadFinalResponse(mLimits);
+  } catch (...) {
+    failure = std::current_exception();
+  }
+  if (mSending) {
+    mReusable = false;
+    Close();
+    Error cancelled;
+    co_await sent->async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
+  }
+  if (failure) {
+    std::rethrow_exception(failure);
+  }
+  co_return response;
+}
+
+void Connection::CloseIfSending()
+{
+  if (mSending) {
+    Close();
+  }
+}
+
 Awaitable<Response> Connection::Call(const Request& aRequest,
                                      std::chrono::milliseconds aTimeout,
                                      std::chrono::milliseconds aStallTimeout)
@@ -225,6 +279,9 @@
   http::request<http::span_body<const char>> message(aHead.base());
   message.body() = beast::span<const char>(aBody.data(), aBody.size());
   message.prepare_payload();
+  if (aBody.size() > kLongBodyBytes) {
+    co_return co_await SendWhileReading(message, aTimeout);
+  }
   co_return co_await SendAndRead(message, aTimeout, aTimeout);
 }
 
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -110,10 +110,15 @@
   Awaitable<Response> Call(const Request& aRequest,
                            std::chrono::milliseconds aTimeout,
                            std::chrono::milliseconds aStallTimeout);
-  // Sends a request whose body, aBody, stays where it is.
+  // Sends a request whose body, aBody, stays where it is. The peer may respond before it
+  // has read a long body. That response is returned, and the connection is closed without
+  // the rest of the body, so that no other bytes can take its place.
   Awaitable<Response> Call(const Request& aHead,
                            std::string_view aBody,
                            std::chrono::milliseconds aTimeout);
+  // Closes the connection if the request of a call in flight is not wholly sent. The peer
+  // then sees an incomplete request, and the call throws CallError.
+  void CloseIfSending();
   // Reads one more response, after one that did not belong to the request of the last
   // call. Throws CallError at Stage::Sent.
   Awaitable<Response> ReadNext(std::chrono::milliseconds aTimeout);
@@ -150,6 +155,14 @@
   Awaitable<Response> SendAndRead(const Message& aRequest,
                                   std::chrono::milliseconds aTimeout,
                                   std::chrono::milliseconds aStallTimeout);
+  // Reads the response already while the request is sent. Throws CallError.
+  template<typename Message>
+  Awaitable<Response> SendWhileReading(const Message& aRequest,
+                                       std::chrono::milliseconds aTimeout);
+  template<typename Message>
+  void BeginCall(const Message& aRequest,
+                 std::chrono::milliseconds aTimeout,
+                 std::chrono::milliseconds aStallTimeout);
   void ParseBuffer(Parser& aParser);
   Awaitable<Response> ReadResponse(ReadLimits aLimits);
   Awaitable<Response> ReadFinalResponse(ReadLimits aLimits);
@@ -160,6 +173,7 @@
   ReadBudget* mBudget = nullptr;
   std::size_t mResponsesRead = 0;
   bool mReusable = false;
+  bool mSending = false; // a request is not wholly sent yet
 };
 
 // Makes one call on a new connection. Throws CallError.
--- a/tests/unit/net.cc
+++ b/tests/unit/net.cc
@@ -1,6 +1,9 @@
 // Unit tests for src/net.
 #include <doctest/doctest.h>
 
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+
 #include "canned.h"
 #include "net/http.h"
 
@@ -193,6 +196,62 @@
   }
 }
 
+// Guards against an answer of any size that is held, or that reaches the caller in part.
+TEST_CASE("a response over the largest size fails, whatever tells its length")
+{
+  const std::string over = std::to_string(net::kMaxResponseBodyBytes + 1);
+  boost::asio::io_context context;
+  test::CannedServer byLength(context,
+                              "HTTP/1.1 200 OK\r\nContent-Length: " + over + "\r\n\r\n");
+  CHECK(FailedStageOf(context, byLength.Address()) == net::Stage::Sent);
+  test::CannedServer inChunks(
+    context,
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n400001\r\n" +
+      std::string(net::kMaxResponseBodyBytes + 1, 'x') + "\r\n0\r\n\r\n");
+  CHECK(FailedStageOf(context, inChunks.Address()) == net::Stage::Sent);
+  test::CannedServer largest(
+    context,
+    "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(net::kMaxResponseBodyBytes) +
+      "\r\n\r\n" + std::string(net::kMaxResponseBodyBytes, 'x'));
+  CHECK(test::RunCoroutine(context, net::CallOnce(largest.Address(), Get(), 2000ms))
+          .body()
+          .size() == net::kMaxResponseBodyBytes);
+}
+
+// Guards against a caller that reads slowly, or not at all, and keeps a server's slot.
+TEST_CASE("a response for which there is no room ends at the call's time limit")
+{
+  struct NoRoom final : net::ReadBudget
+  {
+    boost::asio::io_context& mContext;
+    explicit NoRoom(boost::asio::io_context& aContext)
+      : mContext(aContext)
+    {
+    }
+    bool Grow(std::size_t) override { return false; }
+    net::Awaitable<void> Pause() override
+    {
+      boost::asio::steady_timer timer(mContext, 10ms);
+      co_await timer.async_wait(boost::asio::use_awaitable);
+    }
+  };
+  boost::asio::io_context context;
+  test::CannedServer server(context, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello");
+  NoRoom budget(context);
+  auto call = [&]() -> boost::asio::awaitable<bool> {
+    net::Connection connection(context.get_executor());
+    co_await connection.Connect(server.Address(), 1000ms);
+    connection.SetReadBudget(&budget);
+    try {
+      co_await connection.Call(Get(), 100ms);
+    } catch (const net::CallError& error) {
+      co_return error.TimedOut() && !connection.IsReusable();
+    }
+    co_return false;
+  };
+  CHECK(test::RunCoroutine(context, call()));
+}
+
 // Guards against half an answer that reaches the caller as a complete one.
 TEST_CASE("a response that breaks off fails, whatever tells its length")
 {
@@ -244,3 +303,89 @@
     CHECK(FailedStageOf(context, server.Address()) == net::Stage::Sent);
   }
 }
+
+namespace {
+
+constexpr std::size_t kUploadBytes = 32UL * 1024 * 1024; // more than the sockets hold
+
+// A server that responds to the head of a request and reads no body.
+struct EarlyServer
+{
+  boost::asio::ip::tcp::acceptor mAcceptor;
+  boost::asio::ip::tcp::socket mSocket;
+
+  explicit EarlyServer(boost::asio::io_context& aContext)
+    : mAcceptor(aContext, { boost::asio::ip::address_v4::loopback(), 0 })
+    , mSocket(aContext)
+  {
+  }
+  base::HostPort Address() const
+  {
+    return { "127.0.0.1", mAcceptor.local_endpoint().port() };
+  }
+  boost::asio::awaitable<void> Respond(std::string aResponse, test::ServerClose aClose)
+  {
+    using boost::asio::use_awaitable;
+    std::string head;
+    mSocket = co_await mAcceptor.async_accept(use_awaitable);
+    co_await boost::asio::async_read_until(
+      mSocket, boost::asio::dynamic_buffer(head), "\r\n\r\n", use_awaitable);
+    co_await boost::asio::async_write(
+      mSocket, boost::asio::buffer(aResponse), use_awaitable);
+    if (aClose == test::ServerClose::Reset) {
+      mSocket.close(); // resets, since bytes are unread
+    }
+  }
+};
+
+struct EarlyOutcome
+{
+  unsigned mStatus = 0; // 0: the call failed
+  bool mReusable = false;
+};
+
+// Sends a request with a long body to a server that does not read it.
+boost::asio::awaitable<EarlyOutcome> Upload(base::HostPort aTo)
+{
+  std::string body(kUploadBytes, 'x');
+  net::Connection connection(co_await boost::asio::this_coro::executor);
+  EarlyOutcome outcome;
+  try {
+    co_await connection.Connect(aTo, 1000ms);
+    net::Request head(http::verb::post, "/", net::kHttp11);
+    net::Response response = co_await connection.Call(head, body, 2000ms);
+    outcome.mStatus = response.result_int();
+  } catch (const net::CallError&) {
+  }
+  outcome.mReusable = connection.IsReusable();
+  co_return outcome;
+}
+
+} // namespace
+
+// Guards against an upload whose answer is lost: the server refuses it, or ends it,
+// before it has read the body, and the answer was looked for only behind the last byte.
+TEST_CASE("a response before the end of a long body is returned, its connection ends")
+{
+  const std::string busy = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+  const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  for (auto close : { test::ServerClose::Never, test::ServerClose::Reset }) {
+    for (const std::string& text : { busy, interim + busy }) {
+      boost::asio::io_context context;
+      EarlyServer server(context);
+      boost::asio::co_spawn(context, server.Respond(text, close), boost::asio::detached);
+      EarlyOutcome outcome = test::RunCoroutine(context, Upload(server.Address()));
+      CHECK(outcome.mStatus == 503);
+      CHECK_FALSE(outcome.mReusable);
+    }
+  }
+}
+
+TEST_CASE("a long body that a server never reads fails at the call's time limit")
+{
+  boost::asio::io_context context;
+  EarlyServer server(context);
+  boost::asio::co_spawn(
+    context, server.Respond("", test::ServerClose::Never), boost::asio::detached);
+  CHECK(test::RunCoroutine(context, Upload(server.Address())).mStatus == 0);
+}
