A TRACE request with a body is refused before it is handled

The library throws on sending such a request, behind the choice of a server: the request took a slot and its caller got 502. It is now answered 405 once it is read.

--- a/src/entry/listener.cc
+++ b/src/entry/listener.cc
@@ -112,6 +112,12 @@
            : Result::Ok;
 }
 
+// HTTP forbids a body there, and servers disagree on where such a request ends.
+bool IsTraceWithBody(const net::Request& aRequest)
+{
+  return aRequest.method() == http::verb::trace && !aRequest.body().empty();
+}
+
 // Maps a fault of a head to a result code.
 Result FaultResult(net::FramingFault aFault)
 {
@@ -393,6 +399,8 @@
     Error cause = read->mTimedOut ? Error(beast::error::timeout) : error;
     outcome.mFailure = ReadErrorResult(cause, started);
     outcome.mClosed = outcome.mFailure == Result::Ok;
+  } else if (IsTraceWithBody(parser.get())) {
+    outcome.mFailure = Result::MethodNotAllowed;
   } else {
     outcome.mRequest = parser.release();
   }
