--- a/tests/unit/entry_listener.cc
+++ b/tests/unit/entry_listener.cc
@@ -2,7 +2,9 @@
 #include <doctest/doctest.h>
 
 #include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <boost/asio/write.hpp>
 
 #include "base/clock.h"
@@ -177,3 +179,125 @@
     CHECK(received.starts_with("HTTP/1.1 431 "));
   }
 }
+
+namespace {
+
+// Waits for the caller to leave, at most for mTime, before it answers.
+struct SlowHandler
+{
+  Duration mTime;
+  unsigned mCalls = 0;
+  unsigned mCallersLeft = 0;
+
+  Awaitable<net::Response> Handle(CallerConnection& aConnection)
+  {
+    ++mCalls;
+    asio::steady_timer timer(co_await asio::this_coro::executor, mTime);
+    aConnection.mOnDisconnect = [&] {
+      ++mCallersLeft;
+      timer.cancel();
+    };
+    boost::system::error_code cancelled;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
+    aConnection.mOnDisconnect = nullptr;
+    net::Response response(boost::beast::http::status::ok, net::kHttp11);
+    response.body() = "slow " + std::to_string(mCalls) + ";";
+    co_return response;
+  }
+};
+
+struct SlowFixture : Fixture
+{
+  SlowHandler mSlow;
+
+  explicit SlowFixture(Duration aTime)
+    : mSlow{ aTime }
+  {
+    Tcp::endpoint anyPort(asio::ip::address_v4::loopback(), 0);
+    mAt = Tcp::acceptor(mContext, anyPort).local_endpoint();
+    mListener.Open({ "127.0.0.1", mAt.port() },
+                   [&](net::Request, CallerConnection& aConnection) {
+                     return mSlow.Handle(aConnection);
+                   });
+  }
+};
+
+} // namespace
+
+// Guards against GONE: servers that work for a caller whose close stands behind a
+// pipelined request.
+TEST_CASE("a caller that pipelines and leaves is noticed while its request is served")
+{
+  SlowFixture fixture(2s);
+  Tcp::socket caller = fixture.Connect();
+  Send(caller, std::string(kRequest) + kRequest);
+  fixture.mContext.run_for(50ms);
+  Send(caller, kRequest);
+  fixture.mContext.run_for(50ms);
+  CHECK(fixture.mSlow.mCallersLeft == 0);
+  caller.close();
+  fixture.mContext.run_for(100ms);
+  CHECK(fixture.mSlow.mCallersLeft > 0);
+}
+
+TEST_CASE("pipelined requests that arrive while one is served are answered in order")
+{
+  SlowFixture fixture(50ms);
+  Tcp::socket caller = fixture.Connect();
+  Send(caller, kRequest);
+  fixture.mContext.run_for(20ms);
+  // More than is read ahead.
+  for (int i = 0; i < 4; ++i) {
+    Send(caller, "GET / HTTP/1.1\r\nX-Long: " + std::string(6000, 'x') + "\r\n\r\n");
+  }
+  CHECK(fixture.RunUntilAnswered());
+  std::string received = ReadAll(caller);
+  std::size_t from = 0;
+  for (int i = 1; i <= 5; ++i) {
+    from = received.find("slow " + std::to_string(i) + ";", from);
+    CHECK(from != std::string::npos);
+  }
+}
+
+// An answer is written also to a caller that seems to have left, because a close of the
+// sending side alone looks the same.
+TEST_CASE("a caller that closes only its sending side gets the answer")
+{
+  SlowFixture fixture(50ms);
+  Tcp::socket caller = fixture.Connect();
+  Send(caller, kRequest);
+  caller.shutdown(Tcp::socket::shutdown_send);
+  CHECK(fixture.RunUntilAnswered());
+  CHECK(ReadAll(caller).find("slow 1;") != std::string::npos);
+}
+
+// Guards against an exception behind the choice of a server: the library refuses to send
+// such a request.
+TEST_CASE("a TRACE request with a body is refused before it is handled")
+{
+  for (const char* body : { "Content-Length: 3\r\n\r\nabc",
+                            "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n" }) {
+    SlowFixture fixture(1ms);
+    Tcp::socket caller = fixture.Connect();
+    Send(caller, std::string("TRACE / HTTP/1.1\r\n") + body);
+    CHECK(fixture.RunUntilAnswered());
+    CHECK(ReadAll(caller).starts_with("HTTP/1.1 405 "));
+    CHECK(fixture.mSlow.mCalls == 0);
+  }
+}
+
+// Guards against an upload that breaks off and looks complete to the server.
+TEST_CASE("a request whose body breaks off is not handled")
+{
+  for (const char* body : { "Content-Length: 4\r\n\r\nabc",
+                            "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+                            "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n" }) {
+    SlowFixture fixture(1ms);
+    Tcp::socket caller = fixture.Connect();
+    Send(caller, std::string("POST / HTTP/1.1\r\n") + body);
+    fixture.mContext.run_for(20ms);
+    caller.close();
+    fixture.mContext.run_for(50ms);
+    CHECK(fixture.mSlow.mCalls == 0);
+  }
+}
