Idle connections to backend servers have a common bound

Idle connections were kept by server name, 32 for each, and nothing ended those to servers that had left without saying so in an answer: 1,000 releases left 1,000 descriptors. They are now kept in one place (entry/idle), at most an eighth of the process's descriptors; the longest idle one is closed at the bound, those that nobody used for a minute and those to servers that have left within a second, and one to a former address is not used. Two gauges and event 7103, at most once a second.

The cause in event 5002 is now the error, so that an answer over the largest size can be told from a break.

unit-entry: the test of 1,000 releases fails on the code before.

--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -124,6 +124,10 @@
              "connections-full",
              "A listening address has as many connections as it may; the one without a "
              "request for the longest time is closed; logged once a second." },
+  EventInfo{ Event::IdleConnectionsFull,
+             "idle-connections-full",
+             "As many connections to backend servers are idle as may be; the longest "
+             "idle one is closed; logged once a second." },
 };
 
 } // namespace
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -53,6 +53,7 @@
   RequestBroken = 7002,
   MemoryFull = 7101,
   ConnectionsFull = 7102,
+  IdleConnectionsFull = 7103,
 };
 
 // Catalogue entry of an event.
--- a/src/entry/backend.cc
+++ b/src/entry/backend.cc
@@ -17,7 +17,6 @@
 // A server that stops a request at the deadline reports that in its response. This grace
 // period lets the response arrive.
 constexpr std::chrono::milliseconds kAnswerGrace{ 100 };
-constexpr std::size_t kMaxIdleConnections = 32; // per server
 // Responses to earlier requests that a call skips before it gives up the connection.
 constexpr unsigned kMaxSkippedAnswers = 4;
 
@@ -25,7 +24,7 @@
 struct Failure
 {
   Result mResult;
-  const char* mCause;
+  std::string mCause;
 };
 
 bool NamesAnotherRequest(const Exchange& aExchange, const ServerAnswer& aAnswer)
@@ -45,31 +44,16 @@
 
 } // namespace
 
-BackendClient::ConnectionPtr BackendClient::TakeIdle(const std::string& aServer)
-{
-  auto& idle = mIdle[aServer];
-  while (!idle.empty()) {
-    ConnectionPtr connection = std::move(idle.back());
-    idle.pop_back();
-    if (connection->IsReusable()) {
-      return connection;
-    }
-  }
-  return nullptr;
-}
-
 std::chrono::milliseconds BackendClient::TimeLeft(const Exchange& aExchange) const
 {
   return std::chrono::duration_cast<std::chrono::milliseconds>(aExchange.mDeadline -
                                                                mCore.Now());
 }
 
-void BackendClient::KeepIdle(const std::string& aServer, ConnectionPtr aConnection)
+void BackendClient::KeepIdle(const BackendTarget& aTarget, ConnectionPtr aConnection)
 {
-  auto& idle = mIdle[aServer];
-  if (idle.size() < kMaxIdleConnections) {
-    idle.push_back(std::move(aConnection));
-  }
+  mCore.mIdle.Keep({ aTarget.mName, aTarget.mAddress, aTarget.mHasLeft },
+                   std::move(aConnection));
 }
 
 Awaitable<BackendClient::ConnectionPtr> BackendClient::Connect(BackendTarget aTarget,
@@ -77,7 +61,7 @@
 {
   ConnectionPtr connection;
   if (aReuse == ConnectionReuse::Allowed) {
-    connection = TakeIdle(aTarget.mName);
+    connection = mCore.mIdle.Take(aTarget.mName, aTarget.mAddress);
   }
   if (!connection) {
     connection = std::make_unique<net::Connection>(mCore.mContext.get_executor());
@@ -98,7 +82,7 @@
   ConnectionPtr connection = co_await Connect(aTarget, aReuse);
   AttemptMetadata metadata{ aTarget.mName, TimeLeft(aExchange), aOrder };
   if (metadata.mTimeLeft.count() <= 0 || aExchange.CallerDisconnected()) {
-    KeepIdle(aTarget.mName, std::move(connection));
+    KeepIdle(aTarget, std::move(connection));
     throw base::RequestError(Result::DeadlineBeforeStart);
   }
   if (aTarget.mMaySend && !aTarget.mMaySend()) {
@@ -114,7 +98,7 @@
     answer = co_await SendAndReadAnswer(aExchange, *connection, metadata);
   } catch (const net::CallError& error) {
     failure = { error.TimedOut() ? Result::AnswerTimeout : Result::AnswerLost,
-                "no complete answer in time" };
+                error.what() };
   }
   connection->SetReadBudget(nullptr);
   if (aExchange.mCaller) {
@@ -133,7 +117,7 @@
     throw base::RequestError(failure->mResult);
   }
   if (answer.mGenuine && !answer.mRequestId.empty() && connection->IsReusable()) {
-    KeepIdle(aTarget.mName, std::move(connection));
+    KeepIdle(aTarget, std::move(connection));
   }
   co_return answer;
 }
@@ -173,7 +157,7 @@
                                                decide::AttemptOutcome& aAttemptOutcome)
 {
   aAttemptOutcome = decide::AttemptOutcome::NotSent;
-  BackendTarget target{ aSlot.mServer, aSlot.mAddress, {} };
+  BackendTarget target{ aSlot.mServer, aSlot.mAddress, {}, {} };
   ConnectionReuse reuse = aOrder ? ConnectionReuse::Forbidden : ConnectionReuse::Allowed;
   ServerAnswer answer;
   try {
--- a/src/entry/backend.h
+++ b/src/entry/backend.h
@@ -2,10 +2,7 @@
 #pragma once
 
 #include <functional>
-#include <map>
-#include <memory>
 #include <string>
-#include <vector>
 
 #include "decide/steer.h"
 #include "entry/core.h"
@@ -18,11 +15,14 @@
 // Name and address of a backend server to call.
 struct BackendTarget
 {
-  std::string mName; // key of the idle connections
+  std::string mName;
   base::HostPort mAddress;
   // Returns false once no request may be sent to the server any more. Checked again after
   // the connection is established. Empty: always true.
   std::function<bool()> mMaySend;
+  // Returns true once the server gets no requests any more. It is kept with an idle
+  // connection, beyond the call. Empty: always false.
+  std::function<bool()> mHasLeft = {};
 };
 
 // Whether a call may use an idle connection of an earlier call.
@@ -59,27 +59,22 @@
                                   bool aOrder,
                                   decide::AttemptOutcome& aAttemptOutcome);
 
-  // Closes the idle connections to a server.
-  void CloseIdle(const std::string& aServer) { mIdle.erase(aServer); }
-
   // Requests /load from a server and returns its state: Draining or Serving as reported,
   // Down if the call fails.
   Awaitable<decide::ServerState> Probe(base::HostPort aServer);
 
 private:
-  using ConnectionPtr = std::unique_ptr<net::Connection>;
+  using ConnectionPtr = IdleConnections::ConnectionPtr;
 
   Awaitable<ServerAnswer> SendAndReadAnswer(const Exchange& aExchange,
                                             net::Connection& aConnection,
                                             const AttemptMetadata& aMetadata) const;
-  ConnectionPtr TakeIdle(const std::string& aServer);
   Awaitable<ConnectionPtr> Connect(BackendTarget aTarget, ConnectionReuse aReuse);
-  void KeepIdle(const std::string& aServer, ConnectionPtr aConnection);
+  void KeepIdle(const BackendTarget& aTarget, ConnectionPtr aConnection);
   std::chrono::milliseconds TimeLeft(const Exchange& aExchange) const;
 
   Core& mCore;
   const Format& mFormat;
-  std::map<std::string, std::vector<ConnectionPtr>> mIdle; // by server name
 };
 
 } // namespace vanillaloft::entry
--- a/src/entry/core.cc
+++ b/src/entry/core.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <sys/resource.h>
+
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -37,6 +39,9 @@
   { "vanillaloft_held_bytes_budget", "Bytes that requests and answers may hold." },
   { "vanillaloft_ended_for_memory", "Requests and answers ended to make room." },
   { "vanillaloft_ended_for_descriptors", "Connections ended at their limit." },
+  { "vanillaloft_idle_connections", "Idle connections to backend servers." },
+  { "vanillaloft_idle_connections_displaced",
+    "Idle connections to backend servers closed at their limit." },
   { "vanillaloft_registrations_age_seconds",
     "Age of what is known of the backend servers' registrations; -1 if nothing is." },
 };
@@ -134,6 +139,16 @@
   return prometheus::TextSerializer().Serialize(mRegistry->Collect());
 }
 
+std::size_t DescriptorLimit(const InstanceSettings& aSettings)
+{
+  if (aSettings.mMaxDescriptors > 0) {
+    return aSettings.mMaxDescriptors;
+  }
+  rlimit allowed{};
+  getrlimit(RLIMIT_NOFILE, &allowed);
+  return allowed.rlim_cur;
+}
+
 Core::Core(boost::asio::io_context& aContext,
            const base::Clock& aClock,
            InstanceSettings aSettings,
@@ -152,6 +167,7 @@
             aClock,
             MessageBudget(mSettings.mMemoryBytes > 0 ? mSettings.mMemoryBytes
                                                      : kDefaultMemoryBytes))
+  , mIdle(aContext, aClock, MaxIdleConnections(DescriptorLimit(mSettings)))
   , mSelf(aSelf)
 {
 }
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -28,6 +28,7 @@
 #include "decide/share.h"
 #include "decide/steer.h"
 #include "decide/ticket.h"
+#include "entry/idle.h"
 #include "entry/memory.h"
 #include "entry/signal.h"
 #include "peer/peer.h"
@@ -102,6 +103,9 @@
   std::size_t mMaxDescriptors = 0; // open files and sockets; 0: as the system allows
 };
 
+// Number of open files and sockets that the process may have.
+std::size_t DescriptorLimit(const InstanceSettings& aSettings);
+
 // What a backend server said of itself in a response.
 enum class ServerNotice : std::uint8_t
 {
@@ -223,6 +227,7 @@
   peer::Client mPeers;
   Metrics mMetrics;
   MemoryGate mMemory;
+  IdleConnections mIdle; // to backend servers
   bool mLeaving = false; // left out of look-up responses, still serving
   bool mStopped = false; // accepts no new requests
   // End of a planned stop: requests without a response are cut off then. Empty before
--- a/src/entry/direct.cc
+++ b/src/entry/direct.cc
@@ -148,7 +148,7 @@
 {
   mCore.mFleet.RecordResult(aChoice.mServer, aResult, mCore.Now(), aChoice.mFlight);
   if (mCore.mFleet.IsLeaving(*aChoice.mServer)) {
-    mBackend.CloseIdle(aChoice.mServer->Id());
+    mCore.mIdle.CloseAll(aChoice.mServer->Id());
   }
   auto waiters = mWaiters.find(aChoice.mServer->mRegistration.mService);
   if (waiters == mWaiters.end()) {
@@ -226,9 +226,12 @@
 {
   const decide::ServerPtr& server = aChoice.mServer;
   const decide::Registration& registration = server->mRegistration;
-  BackendTarget target{ registration.mId, registration.mAddress, [&] {
-                         return mCore.mFleet.MaySend(*server, mCore.Now());
-                       } };
+  BackendTarget target{ registration.mId,
+                        registration.mAddress,
+                        [&] { return mCore.mFleet.MaySend(*server, mCore.Now()); },
+                        [&fleet = mCore.mFleet, server] {
+                          return fleet.IsLeaving(*server);
+                        } };
   ++aAttempts.mSends;
   aAttempts.mServers.push_back(server);
   Instant sent = mCore.Now();
--- a/src/entry/dump.cc
+++ b/src/entry/dump.cc
@@ -102,6 +102,9 @@
   metrics.Gauge("vanillaloft_ended_for_memory").Set(double(aCore.mMemory.Ended()));
   metrics.Gauge("vanillaloft_ended_for_descriptors")
     .Set(double(aCore.mEndedForDescriptors));
+  metrics.Gauge("vanillaloft_idle_connections").Set(double(aCore.mIdle.Size()));
+  metrics.Gauge("vanillaloft_idle_connections_displaced")
+    .Set(double(aCore.mIdle.Displaced()));
   metrics.Gauge("vanillaloft_requests_running").Set(double(aCore.mRequestsInFlight));
   Duration age = aCore.RegistrationsAge();
   metrics.Gauge("vanillaloft_registrations_age_seconds")
--- a/src/entry/listener.cc
+++ b/src/entry/listener.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <array>
 
-#include <sys/resource.h>
-
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -77,14 +75,6 @@
   return std::min(aBuffer.max_size(), std::max(2 * size, size + aBytes));
 }
 
-// Open files and sockets that the system allows the process.
-std::size_t AllowedDescriptors()
-{
-  rlimit allowed{};
-  getrlimit(RLIMIT_NOFILE, &allowed);
-  return allowed.rlim_cur;
-}
-
 // Maps an error while reading a request to a result code. Ok: the connection is closed
 // without a response, since the caller closed the connection or sent nothing in time.
 Result ReadErrorResult(const Error& aError, bool aStarted)
@@ -176,12 +166,9 @@
 
 void Listener::Open(const base::HostPort& aAt, Handler aHandler, Audience aAudience)
 {
-  std::size_t descriptors = mCore.mSettings.mMaxDescriptors > 0
-                              ? mCore.mSettings.mMaxDescriptors
-                              : AllowedDescriptors();
   mEndpoints.push_back({ Acceptor(mCore.mContext),
                          std::move(aHandler),
-                         MaxConnections(aAudience, descriptors) });
+                         MaxConnections(aAudience, DescriptorLimit(mCore.mSettings)) });
   BindAndListen(mEndpoints.back().mAcceptor, aAt);
   Spawn(mCore.mContext, "accept", AcceptConnections(mEndpoints.back()));
 }
--- a/tests/unit/entry_backend.cc
+++ b/tests/unit/entry_backend.cc
@@ -1,6 +1,7 @@
 // Unit tests of calls to backend servers that do not keep to the protocol.
 #include <filesystem>
 
+#include <boost/asio/steady_timer.hpp>
 #include <doctest/doctest.h>
 
 #include <fmt/format.h>
@@ -280,3 +281,52 @@
   fixture.mContext.run_for(50ms);
   CHECK(OpenDescriptors() == before);
 }
+
+namespace {
+
+// Answers each request of any number of connections with the answer to request "1".
+boost::asio::awaitable<void> AnswerAll(boost::asio::ip::tcp::socket aSocket)
+{
+  using boost::asio::use_awaitable;
+  std::string received;
+  std::string answer = Answer("1");
+  for (;;) {
+    std::size_t head = co_await boost::asio::async_read_until(
+      aSocket, boost::asio::dynamic_buffer(received), "\r\n\r\n", use_awaitable);
+    received.erase(0, head);
+    co_await boost::asio::async_write(
+      aSocket, boost::asio::buffer(answer), use_awaitable);
+  }
+}
+
+boost::asio::awaitable<void> AcceptAll(boost::asio::ip::tcp::acceptor& aAcceptor)
+{
+  for (;;) {
+    auto socket = co_await aAcceptor.async_accept(boost::asio::use_awaitable);
+    boost::asio::co_spawn(
+      aAcceptor.get_executor(), AnswerAll(std::move(socket)), boost::asio::detached);
+  }
+}
+
+} // namespace
+
+// Guards against descriptors that servers which were replaced use up.
+TEST_CASE("after 1,000 releases of a server as many descriptors are open as before")
+{
+  Fixture fixture;
+  boost::asio::ip::tcp::acceptor server(fixture.mContext,
+                                        { boost::asio::ip::address_v4::loopback(), 0 });
+  boost::asio::co_spawn(fixture.mContext, AcceptAll(server), boost::asio::detached);
+  DirectPlacement direct(fixture.mCore, fixture.mBackend);
+  std::ptrdiff_t before = OpenDescriptors();
+  for (int release = 0; release < 1000; ++release) {
+    std::string id = "i-" + std::to_string(release);
+    fixture.Register(id, "d1", { "127.0.0.1", server.local_endpoint().port() });
+    Exchange exchange = fixture.MakeExchange("1");
+    CHECK(PlaceLookup(fixture, direct, exchange) == Result::Ok);
+    fixture.mCore.mFleet.Deregister(id);
+  }
+  fixture.mContext.restart();
+  fixture.mContext.run_for(1500ms);
+  CHECK(OpenDescriptors() == before);
+}
