An order that is not wholly sent ends when its caller leaves

An order was never ended for a caller who left, also while its body was still on the way to the server. Without a ticket, that is where nobody can ask for its outcome again, it is now ended as long as the server has not got all of it: the server sees a body that breaks off and does not run it. The native format no longer reads a ticket that is not there.

unit-entry: the first of the two tests fails on the code before (it ended by the time limit).

--- a/src/entry/backend.cc
+++ b/src/entry/backend.cc
@@ -74,6 +74,22 @@
   co_return connection;
 }
 
+// An order that the server has got may run, so its answer is awaited. One with a ticket
+// is remembered, and its caller may ask again.
+void BackendClient::EndOnDisconnect(const Exchange& aExchange,
+                                    net::Connection& aConnection,
+                                    bool aOrder)
+{
+  if (!aExchange.mCaller) {
+    return;
+  }
+  if (!aOrder) {
+    aExchange.mCaller->mOnDisconnect = [&aConnection] { aConnection.Close(); };
+  } else if (aExchange.mTicket.empty()) {
+    aExchange.mCaller->mOnDisconnect = [&aConnection] { aConnection.CloseIfSending(); };
+  }
+}
+
 Awaitable<ServerAnswer> BackendClient::Call(Exchange& aExchange,
                                             BackendTarget aTarget,
                                             ConnectionReuse aReuse,
@@ -88,9 +104,7 @@
   if (aTarget.mMaySend && !aTarget.mMaySend()) {
     throw base::RequestError(Result::BackendServerLeft);
   }
-  if (aExchange.mCaller && !aOrder) {
-    aExchange.mCaller->mOnDisconnect = [&connection] { connection->Close(); };
-  }
+  EndOnDisconnect(aExchange, *connection, aOrder);
   ServerAnswer answer;
   std::optional<Failure> failure;
   connection->SetReadBudget(aExchange.HeldBy());
--- a/src/entry/backend.h
+++ b/src/entry/backend.h
@@ -44,8 +44,8 @@
   // Sends a request and reads the whole response. Responses that belong to earlier
   // requests of the connection are skipped. Throws RequestError: NotConnected or
   // BackendServerLeft if nothing was sent, otherwise AnswerTimeout or AnswerLost. The
-  // call ends early with AnswerLost when the caller disconnects, unless the request is an
-  // order.
+  // call ends early with AnswerLost when the caller disconnects; an order without a
+  // ticket only as long as the server has not got all of it, one with a ticket never.
   Awaitable<ServerAnswer> Call(Exchange& aExchange,
                                BackendTarget aTarget,
                                ConnectionReuse aReuse,
@@ -66,6 +66,10 @@
 private:
   using ConnectionPtr = IdleConnections::ConnectionPtr;
 
+  // Lets a disconnect of the caller end the call.
+  static void EndOnDisconnect(const Exchange& aExchange,
+                              net::Connection& aConnection,
+                              bool aOrder);
   Awaitable<ServerAnswer> SendAndReadAnswer(const Exchange& aExchange,
                                             net::Connection& aConnection,
                                             const AttemptMetadata& aMetadata) const;
--- a/src/entry/format.cc
+++ b/src/entry/format.cc
@@ -107,8 +107,8 @@
   if (!aExchange.mContentType.empty()) {
     request.set(http::field::content_type, aExchange.mContentType);
   }
-  if (aMetadata.mOrder) {
-    auto ticket = decide::Ticket::Parse(aExchange.mTicket);
+  auto ticket = decide::Ticket::Parse(aExchange.mTicket);
+  if (aMetadata.mOrder && ticket) {
     std::string id = ticket->mIssuer.mAddress + "/" +
                      std::to_string(ticket->mIssuer.mStartId) + "/" +
                      std::to_string(ticket->mSequence);
--- a/tests/unit/entry_backend.cc
+++ b/tests/unit/entry_backend.cc
@@ -330,3 +330,60 @@
   fixture.mContext.run_for(1500ms);
   CHECK(OpenDescriptors() == before);
 }
+
+namespace {
+
+constexpr std::size_t kUploadBytes = 32UL * 1024 * 1024; // more than the sockets hold
+
+// Calls a server with an order that it does not read to its end, and lets the caller
+// leave after 100 ms.
+Result CallAndLeave(Fixture& aFixture, Exchange& aExchange, const base::HostPort& aServer)
+{
+  CallerConnection caller;
+  aExchange.mCaller = &caller;
+  boost::asio::steady_timer leave(aFixture.mContext, 100ms);
+  leave.async_wait([&](const boost::system::error_code&) {
+    caller.mDisconnected = true;
+    if (caller.mOnDisconnect) {
+      caller.mOnDisconnect();
+    }
+  });
+  BackendTarget target{ "i-1", aServer, {} };
+  try {
+    test::RunCoroutine(
+      aFixture.mContext,
+      aFixture.mBackend.Call(aExchange, target, ConnectionReuse::Allowed, true));
+    return Result::Ok;
+  } catch (const base::RequestError& error) {
+    return error.Code();
+  }
+}
+
+} // namespace
+
+// Guards against an upload that goes on for a caller who has left (GONE). The server
+// never gets all of it, so it does not run.
+TEST_CASE("an order that is not wholly sent ends when its caller leaves")
+{
+  Fixture fixture;
+  boost::asio::ip::tcp::acceptor unread(fixture.mContext,
+                                        { boost::asio::ip::address_v4::loopback(), 0 });
+  base::HostPort address{ "127.0.0.1", unread.local_endpoint().port() };
+  Exchange exchange = fixture.MakeExchange("1", kOrderRoute);
+  exchange.mTicket.clear();
+  exchange.mBody.assign(kUploadBytes, 'x');
+  exchange.mDeadline = exchange.mArrival + 1500ms;
+  CHECK(CallAndLeave(fixture, exchange, address) == Result::AnswerLost);
+}
+
+TEST_CASE("an order that its server has got is not ended when its caller leaves")
+{
+  Fixture fixture;
+  boost::asio::ip::tcp::acceptor unread(fixture.mContext,
+                                        { boost::asio::ip::address_v4::loopback(), 0 });
+  base::HostPort address{ "127.0.0.1", unread.local_endpoint().port() };
+  Exchange exchange = fixture.MakeExchange("1", kOrderRoute);
+  exchange.mTicket.clear();
+  exchange.mDeadline = exchange.mArrival + 500ms;
+  CHECK(CallAndLeave(fixture, exchange, address) == Result::AnswerTimeout);
+}
