Forwarded requests are in the account of bytes

The body of a request that a peer forwards, and the copy that gRPC keeps of it, were outside the account, and so was the copy of the instance that forwards. Without room the request is refused with memory-full, which is "not run", and the forwarding instance asks another peer.

--- a/src/entry/pipeline.cc
+++ b/src/entry/pipeline.cc
@@ -444,6 +444,11 @@
   request.set_method(aExchange.mMethod);
   request.set_target(aExchange.mTarget);
   request.set_content_type(aExchange.mContentType);
+  Hold copy(mCore.mMemory, {}); // of the body, beside the request's own
+  if (!copy.GrowMessage(aExchange.mBody.size())) {
+    throw RequestError(Result::MemoryFull);
+  }
+  copy.EnterPhase(decide::HoldPhase::Serving);
   request.set_body(aExchange.mBody);
   auto left = std::chrono::duration_cast<std::chrono::milliseconds>(aExchange.mDeadline -
                                                                     mCore.Now());
--- a/src/entry/relay.cc
+++ b/src/entry/relay.cc
@@ -13,6 +13,8 @@
 constexpr std::chrono::milliseconds kHeartbeatTimeout{ 1000 };
 constexpr std::chrono::milliseconds kConfigFetchTimeout{ 2000 };
 constexpr std::size_t kAddressesPerHeartbeat = 24;
+// The body of a forwarded request is also in gRPC's own message until the call ends.
+constexpr std::size_t kForwardedCopies = 2;
 
 wire::Status ToWire(const decide::MemberStatus& aStatus)
 {
@@ -197,12 +199,18 @@
   exchange.mTarget = aRequest.target();
   exchange.mContentType = aRequest.content_type();
   exchange.mBody = std::move(*aRequest.mutable_body());
+  Hold hold(mCore.mMemory, {});
+  exchange.mHold = &hold;
   exchange.mTicket = aRequest.ticket();
   exchange.mOrganisationName = aRequest.organisation();
   exchange.mArrival = mCore.Now();
   exchange.mDeadline = mCore.Now() + peer::TimeFromWire(aRequest.deadline_ms());
   wire::ForwardReply reply;
   try {
+    if (!hold.GrowMessage(kForwardedCopies * exchange.mBody.size())) {
+      throw base::RequestError(Result::MemoryFull);
+    }
+    hold.EnterPhase(decide::HoldPhase::Serving);
     mResolver.Resolve(exchange);
     auto ticket = decide::Ticket::Parse(exchange.mTicket);
     bool issuedHere =
--- a/tests/unit/entry.cc
+++ b/tests/unit/entry.cc
@@ -10,6 +10,7 @@
 #include "entry/listener.h"
 #include "entry/lookup.h"
 #include "entry/pipeline.h"
+#include "entry/relay.h"
 #include "entry/replication.h"
 
 using namespace vanillaloft;
@@ -658,3 +659,24 @@
   CHECK(dump.find(ticket) == std::string::npos);
   CHECK(dump.find("organisation:lenient") != std::string::npos);
 }
+
+// Guards against a process that runs out of memory by what peers forward to it.
+TEST_CASE("a forwarded request for whose body there is no room is refused as not run")
+{
+  Fixture fixture;
+  Relay relay(fixture.mCore, fixture.mPipeline, fixture.mAdmission.mTokens);
+  peer::wire::ForwardRequest request;
+  request.set_target("/open");
+  request.set_method("POST");
+  request.set_body(std::string(100'000, 'x'));
+  auto forward = [&] {
+    auto reply = test::RunCoroutine(fixture.mContext, relay.OnForward(request));
+    return static_cast<Result>(reply.result());
+  };
+  CHECK(forward() == Result::NoBackendServer);
+  Hold other(fixture.mCore.mMemory, {});
+  other.SetMessage(fixture.mCore.mMemory.Budget() - 1000);
+  CHECK(forward() == Result::MemoryFull);
+  other.Reset();
+  CHECK(fixture.mCore.mMemory.HeldBytes() == 0);
+}
