--- a/tests/explore/main.cc
+++ b/tests/explore/main.cc
@@ -9,6 +9,7 @@
 #include <rapidcheck.h>
 
 #include "base/settings.h"
+#include "dispatch.h"
 #include "script.h"
 
 namespace {
@@ -156,6 +157,7 @@
       fmt::format("seed={} max_success={} noshrink=1", seed, kSchedulesPerSeed);
     setenv("RC_PARAMS", parameters.c_str(), 1);
     ok = CheckSchedules("what must always hold, under any schedule of faults") && ok;
+    ok = CheckDispatch() && ok;
     ++seed;
   } while (ok && std::chrono::steady_clock::now() < end);
   return ok ? 0 : 1;
