Requests wait and are refused by a forecast of capacity, and return by a schedule

Change: DirectPlacement asks decide/dispatch; Retry-After of refusals for lack of capacity comes from the schedule, all others are at most a third of what the caller has left. Served parts by organisation and data centre of callers in metrics and in the state dump.

--- a/src/decide/overload.h
+++ b/src/decide/overload.h
@@ -248,23 +248,18 @@
 // A caller that returns sooner is likely to find what it left.
 constexpr Duration kMinReturnDelay = std::chrono::milliseconds(150);
 
-// All schedules. Routes of different priority have their own, since the less urgent one
-// gets what the other leaves.
+// The schedules of all services. Routes of different priority have their own, since the
+// less urgent one gets what the other leaves.
 class ReturnSchedules
 {
 public:
-  ReturnSchedule& OfCapacity(const std::string& aService, unsigned aRoutePriority)
+  ReturnSchedule& Of(const std::string& aService, unsigned aRoutePriority)
   {
-    return mCapacity[{ aService, aRoutePriority }];
-  }
-  ReturnSchedule& OfTokens(const std::string& aOrganisation)
-  {
-    return mTokens[aOrganisation];
+    return mSchedules[{ aService, aRoutePriority }];
   }
 
 private:
-  std::map<std::pair<std::string, unsigned>, ReturnSchedule> mCapacity;
-  std::map<std::string, ReturnSchedule> mTokens;
+  std::map<std::pair<std::string, unsigned>, ReturnSchedule> mSchedules;
 };
 
 // The part of the time that a caller has left for which it honours a Retry-After.
--- a/src/decide/route.h
+++ b/src/decide/route.h
@@ -10,8 +10,8 @@
 // identifier, so the same request always gets the same service.
 ServiceId SelectService(const Route& aRoute, std::uint64_t aHash);
 
-// Time after which the caller of a refused request may retry; zero: none is given. aHash
-// spreads the retries.
+// Default time after which the caller of a refused request may retry, where nothing tells
+// when capacity becomes free; zero: none is given. aHash spreads the retries.
 Duration RetryAfter(base::Result aRefusal, std::uint64_t aHash);
 
 } // namespace vanillaloft::decide
--- a/src/entry/core.cc
+++ b/src/entry/core.cc
@@ -33,6 +33,7 @@
   { "vanillaloft_pool_held", "1 while the pool share is held." },
   { "vanillaloft_orders_remembered", "Order tickets that have not expired." },
   { "vanillaloft_requests_running", "Requests being served." },
+  { "vanillaloft_requests_waiting", "Requests that wait for free capacity." },
   { "vanillaloft_held_bytes", "Bytes of requests and answers that are held." },
   { "vanillaloft_held_bytes_budget", "Bytes that requests and answers may hold." },
   { "vanillaloft_ended_for_memory", "Requests and answers ended to make room." },
@@ -56,6 +57,10 @@
                 .Name("vanillaloft_requests_total")
                 .Help("Requests by service and numbered result.")
                 .Register(*mRegistry))
+  , mCallers(prometheus::BuildCounter()
+               .Name("vanillaloft_callers_total")
+               .Help("Requests by organisation, data centre of the caller and end.")
+               .Register(*mRegistry))
   , mLatency(prometheus::BuildHistogram()
                .Name("vanillaloft_request_seconds")
                .Help("Time from arrival to answer by service.")
@@ -114,6 +119,22 @@
     .Observe(std::chrono::duration<double>(aLatency).count());
 }
 
+void Metrics::CountCaller(const decide::RequestGroups& aGroups, CallerEnd aEnd)
+{
+  std::pair<std::string, std::string> pair{ aGroups.mOrganisation, aGroups.mDataCentre };
+  if (!mCallerCounters.contains(pair) && mCallerCounters.size() >= kMaxCallerPairs) {
+    pair = { "other", "other" };
+  }
+  prometheus::Counter*& counter = mCallerCounters[pair][static_cast<std::size_t>(aEnd)];
+  if (!counter) {
+    counter = &mCallers.Add(
+      { { "organisation", pair.first },
+        { "data_centre", pair.second },
+        { "end", std::string(kCallerEndNames[static_cast<std::size_t>(aEnd)]) } });
+  }
+  counter->Increment();
+}
+
 void Metrics::CountLimitRefusal(bool aElsewhere)
 {
   mLimitRefusals.Add({ { "elsewhere", aElsewhere ? "yes" : "no" } }).Increment();
@@ -279,4 +300,16 @@
   return status;
 }
 
+decide::RequestGroups GroupsOf(const Exchange& aExchange, const Core& aCore)
+{
+  decide::DataCentreId centre;
+  if (aExchange.mCaller) {
+    centre = aExchange.mConfig->mClientBlocks.Find(aExchange.mCaller->mAddress);
+  }
+  return { aExchange.OrganisationNameOr(""),
+           centre.IsNone() ? aCore.mSettings.mDataCentre
+                           : aExchange.mConfig->mDataCentres[centre.Value()].mName,
+           aExchange.MatchedRoute().mPath };
+}
+
 } // namespace vanillaloft::entry
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -24,10 +24,12 @@
 #include "decide/fleet.h"
 #include "decide/member.h"
 #include "decide/outage.h"
+#include "decide/overload.h"
 #include "decide/retry.h"
 #include "decide/share.h"
 #include "decide/steer.h"
 #include "decide/ticket.h"
+#include "entry/exchange.h"
 #include "entry/memory.h"
 #include "entry/signal.h"
 #include "peer/peer.h"
@@ -109,6 +111,22 @@
   Pause
 };
 
+// How a request ended for its caller.
+enum class CallerEnd : std::uint8_t
+{
+  InTime,
+  Late,       // beyond the latency target of the route
+  OverRate,   // refused by the organisation's rate
+  NoCapacity, // refused for lack of capacity
+  Unserved    // without an answer of a server for another reason
+};
+
+constexpr std::array<std::string_view, 5> kCallerEndNames = { "in-time",
+                                                              "late",
+                                                              "over-rate",
+                                                              "no-capacity",
+                                                              "unserved" };
+
 // Prometheus metrics of one instance.
 class Metrics
 {
@@ -120,6 +138,9 @@
   // Counts a request beyond its organisation's rate. aElsewhere: another holder may have
   // had tokens.
   void CountLimitRefusal(bool aElsewhere);
+  // Counts a request by the groups of its caller and by how it ended. Pairs of groups
+  // beyond kMaxCallerPairs share the name "other".
+  void CountCaller(const decide::RequestGroups& aGroups, CallerEnd aEnd);
   void CountStoreCall(store::CallKind aKind);
   // The store calls so far by kind, as "list=1 watch=2 ...".
   std::string StoreCallsText() const;
@@ -132,8 +153,14 @@
   std::string Text() const;
 
 private:
+  static constexpr std::size_t kMaxCallerPairs = 512;
+  using CallerCounters = std::array<prometheus::Counter*, kCallerEndNames.size()>;
+
   std::shared_ptr<prometheus::Registry> mRegistry;
   prometheus::Family<prometheus::Counter>& mRequests;
+  prometheus::Family<prometheus::Counter>& mCallers;
+  // By organisation and data centre.
+  std::map<std::pair<std::string, std::string>, CallerCounters> mCallerCounters;
   prometheus::Family<prometheus::Histogram>& mLatency;
   prometheus::Family<prometheus::Counter>& mLimitRefusals;
   prometheus::Family<prometheus::Histogram>& mForecast;
@@ -223,6 +250,10 @@
   peer::Client mPeers;
   Metrics mMetrics;
   MemoryGate mMemory;
+  decide::GroupShares mGroups;
+  decide::CallerTimeouts mCallerTimeouts;
+  decide::AnswerTimes mAnswerTimes;
+  decide::ReturnSchedules mReturns;
   bool mLeaving = false; // left out of look-up responses, still serving
   bool mStopped = false; // accepts no new requests
   // End of a planned stop: requests without a response are cut off then. Empty before
@@ -238,6 +269,7 @@
   decide::StorePath mStorePath;
   bool mStoreAvailable = false;
   unsigned mRequestsInFlight = 0;
+  std::size_t mRequestsWaiting = 0;       // for free capacity
   std::uint64_t mEndedForDescriptors = 0; // connections that ended at their limit
 
 private:
@@ -248,4 +280,8 @@
   Instant mFirstConfigAt{};
 };
 
+// The groups of a routed request. Its caller's data centre is that of its address, or of
+// this instance if no block of the configuration contains the address.
+decide::RequestGroups GroupsOf(const Exchange& aExchange, const Core& aCore);
+
 } // namespace vanillaloft::entry
--- a/src/entry/direct.cc
+++ b/src/entry/direct.cc
@@ -19,9 +19,6 @@
 // an affinity to.
 constexpr double kCapacityWaitFraction = 0.125;
 constexpr Duration kDefaultLatencyTarget = std::chrono::milliseconds(400);
-// Interval at which a waiting request chooses again. Capacity also becomes free without
-// the end of a request: pauses end, and servers that warm up accept more.
-constexpr Duration kCapacityPollInterval = std::chrono::milliseconds(25);
 // Attempts per request that may fail before anything is sent, without using its retries.
 constexpr unsigned kMaxUnsent = 3;
 
@@ -30,12 +27,17 @@
   return aExchange.MatchedRoute().mKind != decide::RouteKind::Order;
 }
 
-// Returns the time at which a request stops waiting and may spill over.
-Instant CapacityWaitEnd(const Exchange& aExchange)
+Duration LatencyTargetOf(const Exchange& aExchange)
 {
   Duration target = aExchange.MatchedRoute().mLatencyTarget;
-  target = target > Duration::zero() ? target : kDefaultLatencyTarget;
-  Duration wait = std::chrono::duration_cast<Duration>(target * kCapacityWaitFraction);
+  return target > Duration::zero() ? target : kDefaultLatencyTarget;
+}
+
+// Returns the time from which a request may spill over.
+Instant SpillTime(const Exchange& aExchange)
+{
+  Duration wait = std::chrono::duration_cast<Duration>(LatencyTargetOf(aExchange) *
+                                                       kCapacityWaitFraction);
   return std::min(aExchange.mArrival + wait, aExchange.mDeadline);
 }
 
@@ -129,34 +131,55 @@
   return query;
 }
 
-Awaitable<void> DirectPlacement::WaitForCapacity(const Exchange& aExchange,
+decide::PlacementRequest DirectPlacement::RequestOf(const Exchange& aExchange,
+                                                    const Attempts& aAttempts) const
+{
+  Duration target = LatencyTargetOf(aExchange);
+  decide::PlacementRequest request;
+  request.mQuery = QueryOf(aExchange, aAttempts);
+  request.mTerms.mTarget = aExchange.mArrival - aExchange.mSinceFirst + target;
+  request.mTerms.mDeadline = aExchange.mDeadline;
+  request.mTerms.mWork = mCore.mAnswerTimes.Expect(request.mQuery.mRoute, target / 2);
+  request.mTerms.mReturn =
+    decide::ReturnOf(aExchange.mSinceFirst, aExchange.mCallerTimeout);
+  request.mOrganisationPriority = PriorityOf(aExchange);
+  request.mRoutePriority = aExchange.MatchedRoute().mPriority;
+  request.mTreatment = mCore.mGroups.Of(GroupsOf(aExchange, mCore), mCore.Now());
+  request.mSpillAt = SpillTime(aExchange);
+  return request;
+}
+
+void DirectPlacement::Wake(decide::Dispatcher::Number aNumber)
+{
+  auto timer = mTimers.find(aNumber);
+  if (timer != mTimers.end()) {
+    timer->second->cancel();
+  }
+}
+
+Awaitable<void> DirectPlacement::WaitForCapacity(decide::Dispatcher::Number aNumber,
                                                  Instant aUntil)
 {
-  asio::steady_timer timer(mCore.mContext,
-                           std::min(aUntil - mCore.Now(), kCapacityPollInterval));
-  Waiter waiter{ PriorityOf(aExchange), mNextWaiter++, &timer };
-  const std::string& service = aExchange.ServiceName();
-  mWaiters[service].insert(waiter);
+  Duration wait = decide::Dispatcher::kPollInterval;
+  if (aUntil > mCore.Now()) {
+    wait = std::min(wait, aUntil - mCore.Now());
+  }
+  asio::steady_timer timer(mCore.mContext, wait);
+  mTimers[aNumber] = &timer;
   boost::system::error_code cancelled;
   co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
-  mWaiters[service].erase(waiter);
+  mTimers.erase(aNumber);
 }
 
-// Records the end of a send, after which a leaving server needs no connections, and wakes
-// all requests that wait for the service, the most urgent first.
+// Records the end of a send, after which a leaving server needs no connections, and
+// offers the capacity to the requests that wait for it.
 void DirectPlacement::EndSend(const decide::ServerChoice& aChoice, SendResult aResult)
 {
   mCore.mFleet.RecordResult(aChoice.mServer, aResult, mCore.Now(), aChoice.mFlight);
   if (mCore.mFleet.IsLeaving(*aChoice.mServer)) {
     mBackend.CloseIdle(aChoice.mServer->Id());
   }
-  auto waiters = mWaiters.find(aChoice.mServer->mRegistration.mService);
-  if (waiters == mWaiters.end()) {
-    return;
-  }
-  for (const Waiter& waiter : waiters->second) {
-    waiter.mTimer->cancel();
-  }
+  mDispatcher.Offer(aChoice.mServer->mRegistration.mService, mCore.Now());
 }
 
 // Applies what a server says of itself. An answer from another server at the address
@@ -196,28 +219,47 @@
 Awaitable<decide::ServerChoice> DirectPlacement::ChooseServer(Exchange& aExchange,
                                                               const Attempts& aAttempts)
 {
-  Instant until = CapacityWaitEnd(aExchange);
+  using Step = decide::Dispatcher::Step;
+  mResolver.ResolveIfStale(aExchange);
+  auto number = mDispatcher.NextNumber();
   for (;;) {
-    mResolver.ResolveIfStale(aExchange);
-    decide::PlacementQuery query = QueryOf(aExchange, aAttempts);
-    query.mMaySpill = mCore.Now() >= until;
-    decide::ServerChoice choice = mCore.mFleet.Choose(query, mCore.Now());
-    if (choice.mServer) {
-      co_return choice;
+    decide::PlacementRequest request = RequestOf(aExchange, aAttempts);
+    Instant spillAt = request.mSpillAt;
+    auto decision = mDispatcher.Ask(number, std::move(request), mCore.Now());
+    mCore.mRequestsWaiting = mDispatcher.Waiting();
+    if (decision.mStep == Step::Start) {
+      mCore.mReturns.Of(aExchange.ServiceName(), aExchange.MatchedRoute().mPriority)
+        .RecordStart(mCore.Now());
+      co_return decision.mChoice;
     }
-    bool allPaused =
-      choice.mReason == decide::NoServerReason::AllPaused && choice.mPausedUntil > until;
-    if (choice.mReason == decide::NoServerReason::NoCandidate || allPaused) {
+    if (decision.mStep == Step::NoServer) {
       aExchange.mRetryAt =
         mCore.mFleet.FirstPauseEnd(QueryOf(aExchange, {}), mCore.Now());
       throw RequestError(Result::NoBackendServer);
     }
-    if (aExchange.CallerDisconnected() || query.mMaySpill) {
-      LogRefusal(aExchange, query);
+    if (decision.mStep == Step::Refuse) {
+      LogRefusal(aExchange, QueryOf(aExchange, aAttempts));
+      aExchange.mRoomExpectedIn = decision.mExpectedWait;
       throw RequestError(Result::QueueTimeout);
     }
-    co_await WaitForCapacity(aExchange, until);
+    co_await WaitForCapacity(number, spillAt);
+    ResumeAfterWait(aExchange, number);
+  }
+}
+
+// Checks a request that waited. One that won't be sent leaves the queue.
+void DirectPlacement::ResumeAfterWait(Exchange& aExchange,
+                                      decide::Dispatcher::Number aNumber)
+{
+  if (aExchange.CallerDisconnected()) {
+    mDispatcher.Leave(aNumber, mCore.Now());
+    throw RequestError(Result::QueueTimeout);
+  }
+  if (aExchange.mConfig == mCore.Config()) {
+    return;
   }
+  mDispatcher.Leave(aNumber, mCore.Now());
+  mResolver.ResolveIfStale(aExchange);
 }
 
 Awaitable<decide::Outcome> DirectPlacement::SendTo(Exchange& aExchange,
@@ -257,6 +299,7 @@
   if (classified.mCode != Result::Ok) {
     throw RequestError(classified.mCode);
   }
+  mCore.mAnswerTimes.Record(RouteHash(aExchange), mCore.Now() - sent, mCore.Now());
   if (aChoice.mFlight.mWork > Duration::zero()) {
     mCore.mMetrics.ObserveForecast(aExchange.ServiceName(),
                                    aExchange.MatchedRoute().mPath,
--- a/src/entry/direct.h
+++ b/src/entry/direct.h
@@ -1,10 +1,11 @@
 // Placement in which every instance sends directly to any registered backend server.
 #pragma once
 
-#include <set>
+#include <unordered_map>
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "decide/dispatch.h"
 #include "entry/backend.h"
 #include "entry/core.h"
 #include "entry/pipeline.h"
@@ -18,6 +19,7 @@
     : mCore(aCore)
     , mResolver(aCore)
     , mBackend(aBackend)
+    , mDispatcher(aCore.mFleet, [this](auto aNumber) { Wake(aNumber); })
   {
   }
 
@@ -34,25 +36,16 @@
     std::optional<decide::Outcome> mFailure; // a server's response that reports a failure
   };
 
-  // A request that waits for free capacity, ordered by priority and then by arrival.
-  struct Waiter
-  {
-    unsigned mPriority;
-    std::uint64_t mNumber;
-    boost::asio::steady_timer* mTimer;
-
-    bool operator<(const Waiter& aOther) const
-    {
-      return std::tie(mPriority, mNumber) < std::tie(aOther.mPriority, aOther.mNumber);
-    }
-  };
-
   Awaitable<decide::ServerChoice> ChooseServer(Exchange& aExchange,
                                                const Attempts& aAttempts);
-  Awaitable<void> WaitForCapacity(const Exchange& aExchange, Instant aUntil);
+  decide::PlacementRequest RequestOf(const Exchange& aExchange,
+                                     const Attempts& aAttempts) const;
+  Awaitable<void> WaitForCapacity(decide::Dispatcher::Number aNumber, Instant aUntil);
   Awaitable<decide::Outcome> SendTo(Exchange& aExchange,
                                     decide::ServerChoice aChoice,
                                     Attempts& aAttempts);
+  void ResumeAfterWait(Exchange& aExchange, decide::Dispatcher::Number aNumber);
+  void Wake(decide::Dispatcher::Number aNumber);
   void LogSend(Exchange& aExchange,
                const decide::ServerChoice& aChoice,
                Instant aSent,
@@ -67,8 +60,9 @@
   Core& mCore;
   Resolver mResolver;
   BackendClient& mBackend;
-  std::map<std::string, std::set<Waiter>> mWaiters; // by service name
-  std::uint64_t mNextWaiter = 0;
+  decide::Dispatcher mDispatcher;
+  // Timers of the waiting requests.
+  std::unordered_map<decide::Dispatcher::Number, boost::asio::steady_timer*> mTimers;
 };
 
 } // namespace vanillaloft::entry
--- a/src/entry/dump.cc
+++ b/src/entry/dump.cc
@@ -1,11 +1,15 @@
 #include "entry/dump.h"
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 namespace vanillaloft::entry {
 
 using nlohmann::json;
 
+constexpr std::size_t kMaxDumpedGroups = 20;
+
 namespace {
 
 // Null if there is no value, which is Duration::max().
@@ -63,6 +67,22 @@
   return budgets;
 }
 
+// The groups of callers that were served worst, at most kMaxDumpedGroups.
+json GroupsJson(const decide::ServedShares& aShares, Instant aNow)
+{
+  std::vector<std::pair<double, std::string>> groups;
+  for (const auto& [name, group] : aShares.Groups()) {
+    groups.emplace_back(aShares.ShareOf(name, aNow), name);
+  }
+  std::ranges::sort(groups);
+  groups.resize(std::min(groups.size(), kMaxDumpedGroups));
+  json rows = json::array();
+  for (const auto& [share, name] : groups) {
+    rows.push_back({ { "name", name }, { "served", share } });
+  }
+  return rows;
+}
+
 } // namespace
 
 std::string DumpState(const Core& aCore)
@@ -76,6 +96,9 @@
   state["floor_held"] = aCore.mShares.HoldsFloor(now);
   state["orders_remembered"] = aCore.mLedger.Size();
   state["requests_running"] = aCore.mRequestsInFlight;
+  state["requests_waiting"] = aCore.mRequestsWaiting;
+  state["organisations_served_worst"] = GroupsJson(aCore.mGroups.Organisations(), now);
+  state["data_centres_served_worst"] = GroupsJson(aCore.mGroups.DataCentres(), now);
   state["peers"] = json::array();
   for (const decide::Member* member : aCore.mMembers.AliveMembers(now)) {
     state["peers"].push_back(StatusJson(member->mStatus));
@@ -103,6 +126,7 @@
   metrics.Gauge("vanillaloft_ended_for_descriptors")
     .Set(double(aCore.mEndedForDescriptors));
   metrics.Gauge("vanillaloft_requests_running").Set(double(aCore.mRequestsInFlight));
+  metrics.Gauge("vanillaloft_requests_waiting").Set(double(aCore.mRequestsWaiting));
   Duration age = aCore.RegistrationsAge();
   metrics.Gauge("vanillaloft_registrations_age_seconds")
     .Set(age == Duration::max() ? -1 : std::chrono::duration<double>(age).count());
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -1,6 +1,7 @@
 // The state of a request while the instance serves it.
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <optional>
 #include <string>
@@ -64,6 +65,8 @@
   CallerConnection* mCaller = nullptr; // null for requests from peers
   std::string mSendLog;                // each send and its result, for the log
   Instant mRetryAt{};                  // earliest useful retry after a refusal, if known
+  Duration mRoomExpectedIn{};          // at a refusal for lack of capacity, if known
+  Duration mSinceFirst{};              // since its caller's first attempt, if known
   std::string mRefusalLog; // servers without free capacity at a refusal, for the log
 
   // Takes over a configuration. Indexes into the tables of the former one are cleared.
@@ -86,6 +89,14 @@
     return mOrganisation.IsNone() ? aDefault
                                   : mConfig->mOrganisations[mOrganisation.Value()].mName;
   }
+  // Time until the caller gives up.
+  Duration CallerTimeLeft(Instant aNow) const
+  {
+    Duration elapsed = aNow - mArrival;
+    return mCallerTimeout == Duration::max()
+             ? mCallerTimeout
+             : std::max(mCallerTimeout - elapsed, Duration::zero());
+  }
   Hold* HeldBy() const { return mCaller ? mCaller->mHold : mHold; }
   bool CallerDisconnected() const { return mCaller && mCaller->IsDisconnected(); }
 };
--- a/src/entry/pipeline.cc
+++ b/src/entry/pipeline.cc
@@ -21,6 +21,9 @@
 // busy takes longer than one target.
 constexpr int kStopLatencyTargets = 2;
 
+// What callers that tell no timeout are assumed to wait.
+constexpr Duration kLongestCallerTime = std::chrono::minutes(1);
+
 // Counts a request as in flight, so that a planned stop can wait for its end.
 class InFlightGuard
 {
@@ -72,6 +75,25 @@
   return *aExchange.mTokensElsewhere ? "elsewhere" : "none";
 }
 
+CallerEnd EndOf(const Exchange& aExchange, Result aResult, Duration aLatency)
+{
+  Duration target = aExchange.MatchedRoute().mLatencyTarget;
+  switch (aResult) {
+    case Result::Ok:
+      return target > Duration::zero() && aLatency > target ? CallerEnd::Late
+                                                            : CallerEnd::InTime;
+    case Result::RateExceeded:
+      return CallerEnd::OverRate;
+    case Result::QueueTimeout:
+    case Result::QueueFull:
+    case Result::BackendServerShed:
+    case Result::NoBackendServer:
+      return CallerEnd::NoCapacity;
+    default:
+      return CallerEnd::Unserved;
+  }
+}
+
 bool MayRetry(const RequestError& aError, bool aOrder)
 {
   if (aError.Code() == Result::DeadlineBeforeStart ||
@@ -137,13 +159,41 @@
 {
   aOutcome.mResult = aCode;
   if (base::InfoOf(aCode).mExecuted == base::Executed::No) {
-    aOutcome.mRetryAfter =
-      decide::RetryAfter(aCode, decide::HashOf(aExchange.mRequestId));
-    if (aExchange.mRetryAt > mCore.Now()) {
-      aOutcome.mRetryAfter = decide::RetryAfterPause(
-        aExchange.mRetryAt - mCore.Now(), decide::HashOf(aExchange.mRequestId));
+    aOutcome.mRetryAfter = RetryAfter(aExchange, aCode);
+  }
+}
+
+// The time after which the caller of a refused request should return: at the end of the
+// pause that the servers asked for, or else at the time that the schedule of the capacity
+// gives. Without either a default that depends on the refusal.
+Duration Pipeline::RetryAfter(const Exchange& aExchange, Result aCode)
+{
+  Instant now = mCore.Now();
+  std::uint64_t hash = decide::HashOf(aExchange.mRequestId);
+  if (aExchange.mRetryAt > now) {
+    return decide::RetryAfterPause(aExchange.mRetryAt - now, hash);
+  }
+  Duration usual = decide::RetryAfter(aCode, hash);
+  Duration left = std::min(aExchange.CallerTimeLeft(now), kLongestCallerTime);
+  if (auto* schedule = ScheduleFor(aExchange, aCode)) {
+    Duration least = std::max(aExchange.mRoomExpectedIn, decide::kMinReturnDelay);
+    Duration elapsed = aExchange.mSinceFirst + (now - aExchange.mArrival);
+    if (auto booked = schedule->Book(least, left, elapsed, now)) {
+      return *booked;
     }
   }
+  return decide::LimitToHonoured(usual, left);
+}
+
+// The schedule of the capacity that a refused request lacked; null for other refusals.
+decide::ReturnSchedule* Pipeline::ScheduleFor(const Exchange& aExchange, Result aCode)
+{
+  bool capacity = aCode == Result::QueueTimeout || aCode == Result::QueueFull ||
+                  aCode == Result::BackendServerShed;
+  if (!capacity || aExchange.mService.IsNone()) {
+    return nullptr;
+  }
+  return &mCore.mReturns.Of(aExchange.ServiceName(), aExchange.MatchedRoute().mPriority);
 }
 
 void Pipeline::RecordOutcome(const Exchange& aExchange, const Outcome& aOutcome)
@@ -154,11 +204,13 @@
       : aExchange.mConfig->mServices[aExchange.mService.Value()].mName;
   Duration latency = mCore.Now() - aExchange.mArrival;
   mCore.mMetrics.CountRequest(service, aOutcome.mResult, latency);
+  RecordCaller(aExchange, aOutcome.mResult, latency);
   base::Log(
     spdlog::level::info,
     base::Event::RequestEnded,
     "request={} service={} organisation={} object={} result={} status={} took_ms={} "
-    "sends={} no_room={} tokens={} registrations_ms={}",
+    "since_first_ms={} retry_after_ms={} sends={} no_room={} tokens={} "
+    "registrations_ms={}",
     aExchange.mRequestId,
     service,
     aExchange.OrganisationNameOr("-"),
@@ -166,12 +218,31 @@
     base::InfoOf(aOutcome.mResult).mName,
     aOutcome.mStatus,
     std::chrono::duration_cast<std::chrono::milliseconds>(latency).count(),
+    std::chrono::duration_cast<std::chrono::milliseconds>(aExchange.mSinceFirst).count(),
+    std::chrono::duration_cast<std::chrono::milliseconds>(aOutcome.mRetryAfter).count(),
     aExchange.mSendLog,
     aExchange.mRefusalLog,
     TokensLog(aExchange),
     AgeInMilliseconds(mCore.RegistrationsAge()));
 }
 
+// Records how a request ended for the groups of its caller. Their shares are those of the
+// requests that competed for capacity.
+void Pipeline::RecordCaller(const Exchange& aExchange, Result aResult, Duration aLatency)
+{
+  if (aExchange.mService.IsNone()) {
+    return;
+  }
+  decide::RequestGroups groups = GroupsOf(aExchange, mCore);
+  CallerEnd end = EndOf(aExchange, aResult, aLatency);
+  mCore.mMetrics.CountCaller(groups, end);
+  bool served = aResult == Result::Ok;
+  if (served || end == CallerEnd::NoCapacity) {
+    bool repeat = aExchange.mSinceFirst > Duration::zero();
+    mCore.mGroups.Record(groups, served, repeat, mCore.Now());
+  }
+}
+
 Awaitable<void> Pipeline::RouteFilter(Exchange& aExchange)
 {
   mResolver.Resolve(aExchange);
@@ -179,12 +250,23 @@
   Duration timeout = aExchange.MatchedRoute().mTimeout;
   timeout = timeout > Duration::zero() ? timeout : profile.mDeadline;
   aExchange.mDeadline = aExchange.mArrival + std::min(timeout, aExchange.mCallerTimeout);
+  EstimateFirstAttempt(aExchange);
   LimitToStop(aExchange);
   mCore.mRetryBudget.Earn(
     aExchange.ServiceName(), profile.mRetryPercent, mCore.RetryBudgetCap());
   co_return;
 }
 
+void Pipeline::EstimateFirstAttempt(Exchange& aExchange)
+{
+  if (aExchange.mCallerTimeout == Duration::max()) {
+    return;
+  }
+  const decide::Route& route = aExchange.MatchedRoute();
+  aExchange.mSinceFirst = mCore.mCallerTimeouts.Elapsed(
+    decide::HashOf(route.mHost + route.mPath), aExchange.mCallerTimeout, mCore.Now());
+}
+
 // During a planned stop, refuses a request that is not expected to get its response in
 // the time left, and limits the deadline of the others, so that the server ends them
 // itself. A request that is cut off at the end of the stop would have an unknown outcome.
--- a/src/entry/pipeline.h
+++ b/src/entry/pipeline.h
@@ -80,9 +80,13 @@
                                         bool aOrder);
   Awaitable<bool> DebitRegionBudgets(const Exchange& aExchange,
                                      const std::string& aAddress);
+  void EstimateFirstAttempt(Exchange& aExchange);
   void LimitToStop(Exchange& aExchange) const;
   void RefundToken(const Exchange& aExchange);
   void SetRefusal(const Exchange& aExchange, Result aCode, decide::Outcome& aOutcome);
+  Duration RetryAfter(const Exchange& aExchange, Result aCode);
+  decide::ReturnSchedule* ScheduleFor(const Exchange& aExchange, Result aCode);
+  void RecordCaller(const Exchange& aExchange, Result aResult, Duration aLatency);
   void RecordOutcome(const Exchange& aExchange, const decide::Outcome& aOutcome);
 
   Core& mCore;
