A waiting request uses servers without affinity for a short time only

Change: 50 ms to spill, at the usual time or in place of a refusal at once; afterwards the request waits for a server that knows its object. Callers that repeat at once (recognised from 2 ms on, not 5) don't spill in place of a refusal: with the shorter time to spill, the test of a third of the callers that repeats at once failed, as they were taken for new ones.

--- a/src/decide/dispatch.cc
+++ b/src/decide/dispatch.cc
@@ -9,6 +9,10 @@
 // Least time between two offers that no event calls for.
 constexpr Duration kMinOfferInterval = Dispatcher::kPollInterval / 5;
 
+// A request that found no server without affinity for its object in this time waits for
+// one that has it. Spilling later would slow that server for the objects that it knows.
+constexpr Duration kSpillTime = 2 * Dispatcher::kPollInterval;
+
 } // namespace
 
 Dispatcher::Waiter& Dispatcher::Enlist(Number aNumber,
@@ -63,7 +67,8 @@
 
 void Dispatcher::OfferTo(Waiter& aWaiter, Instant aNow)
 {
-  aWaiter.mRequest.mQuery.mMaySpill = aNow >= aWaiter.mRequest.mSpillAt;
+  Instant spillAt = aWaiter.mRequest.mSpillAt;
+  aWaiter.mRequest.mQuery.mMaySpill = aNow >= spillAt && aNow < spillAt + kSpillTime;
   aWaiter.mChoice = mFleet.Choose(aWaiter.mRequest.mQuery, aNow);
 }
 
@@ -150,7 +155,9 @@
   RecordWait(aWaiter, aWaiter.mChoice.mServer != nullptr, aNow);
   aWaiter.mAskedAt = aNow;
   Step step = StepOf(aNumber, aWaiter, aNow);
-  if (step == Step::Refuse && aNow < aWaiter.mRequest.mSpillAt) {
+  // A caller that repeats at once has had its chance to spill.
+  bool maySpill = aWaiter.mRequest.mTerms.mReturn != Return::TooSoon;
+  if (step == Step::Refuse && maySpill && aNow < aWaiter.mRequest.mSpillAt) {
     aWaiter.mRequest.mSpillAt = aNow; // rather than refuse it
     OfferTo(aWaiter, aNow);
     step = aWaiter.mChoice.mServer ? Step::Start : Step::Refuse;
--- a/src/decide/dispatch.h
+++ b/src/decide/dispatch.h
@@ -22,7 +22,7 @@
   unsigned mOrganisationPriority = 0;
   unsigned mRoutePriority = 0;
   Treatment mTreatment;
-  Instant mSpillAt{}; // servers without affinity are used from then on
+  Instant mSpillAt{}; // servers without affinity are used for a short time then
 };
 
 class Dispatcher
--- a/src/decide/overload.cc
+++ b/src/decide/overload.cc
@@ -26,7 +26,7 @@
 // new ones.
 constexpr double kPromisedPart = 0.5;
 // A new caller's timeout may be shorter than the longest one of its route by this.
-constexpr Duration kTimeoutTolerance = std::chrono::milliseconds(5);
+constexpr Duration kTimeoutTolerance = std::chrono::milliseconds(2);
 // Callers that were told not to come back do so at the end of the part of their time that
 // they honour. Those told to do so are back by these parts of it: the latest that a
 // refusal gives, and with the time that connecting takes.
--- a/tests/unit/decide_overload.cc
+++ b/tests/unit/decide_overload.cc
@@ -395,3 +395,38 @@
     CHECK(tally.mRefusedAgain < 0.05 * tally.mReturned);
   }
 }
+
+// Where many wait for long, each of them made one more server forget its own objects.
+TEST_CASE("a request that waits beyond its time to spill waits for a server it knows")
+{
+  Members members{ "127.0.0.1:2", "east-a" };
+  Fleet fleet{ "east-a", members, 1.0 };
+  ConfigPtr config = TwoRegions();
+  fleet.SetConfig(config);
+  for (const char* id : { "s0", "s1" }) {
+    Registration registration;
+    registration.mId = id;
+    registration.mService = "stock";
+    registration.mDataCentre = "east-a";
+    registration.mSlots = 1;
+    fleet.Register(registration, kStart);
+  }
+  Dispatcher dispatcher{ fleet, [](auto) {} };
+  PlacementRequest request;
+  request.mQuery = { config, ServiceId(0), "17", {}, {}, {} };
+  request.mTerms = { kStart + 400ms, kStart + 3s, 100ms };
+  request.mSpillAt = kStart + 50ms;
+  auto home = dispatcher.Ask(dispatcher.NextNumber(), request, kStart);
+  REQUIRE(home.mStep == Dispatcher::Step::Start);
+  const auto& servers = fleet.Servers();
+  ServerPtr other = servers.at(home.mChoice.mServer->Id() == "s0" ? "s1" : "s0");
+  other->mInFlight = 1;
+  auto number = dispatcher.NextNumber();
+  CHECK(dispatcher.Ask(number, request, kStart).mStep == Dispatcher::Step::Wait);
+  CHECK(dispatcher.Ask(number, request, kStart + 50ms).mStep == Dispatcher::Step::Wait);
+  other->mInFlight = 0;
+  CHECK(dispatcher.Ask(number, request, kStart + 110ms).mStep == Dispatcher::Step::Wait);
+  home.mChoice.mServer->mInFlight = 0;
+  CHECK(dispatcher.Ask(number, request, kStart + 120ms).mChoice.mServer ==
+        home.mChoice.mServer);
+}
