The regions' capacity has a module of its own

RegionCapacity moves from decide/rank to decide/allocation, so that the division of demand among regions can grow without the ranking of servers.

--- a/src/decide/rank.h
+++ b/src/decide/rank.h
@@ -5,11 +5,10 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <vector>
 
 #include "base/types.h"
-#include "decide/bound.h"
+#include "decide/allocation.h"
 
 namespace vanillaloft::decide {
 
@@ -33,32 +32,6 @@
   bool mSuspect = false; // fails often; ranked after all other servers
 };
 
-// Capacity of the regions for requests that are not bound to a region.
-class RegionCapacity
-{
-public:
-  explicit RegionCapacity(const std::vector<EligibleServer>& aServers,
-                          const BoundDemand& aBoundDemand = {});
-
-  // Fraction of objects that the own region handles itself: all, unless it has less
-  // capacity than regions need on average. The other objects are placed in other regions
-  // from the start, since moving them under load is slow and comes too late.
-  double HomeFraction() const;
-  // The slots of a server that its region's callers leave free for other regions.
-  double SpareSlots(const EligibleServer& aServer) const;
-
-private:
-  struct Region
-  {
-    double mSlots = 0;
-    double mUnboundSlots = 0; // slots not needed by organisations bound to the region
-    bool mOwn = false;
-  };
-
-  std::map<base::RegionId, Region> mRegions;
-  double mUnboundDemand = 0; // slots needed by the unbound callers of one region
-};
-
 // Returns the candidates for an object, best first: its home server in the region, the
 // server that the region's other data centre uses for it, and one in another region. The
 // last comes first for objects that the region does not handle itself. All instances with
