Requests' work is forecast wherever servers report their load

Change: any load report switches it on. Without the fourth figure the pace comes from answers and overdue requests alone; a pace learned from answers is forgotten while a server gets nothing (half-life 4 s), so that it is tried again. Answers behind which others wait teach nothing about work, since their own wait is not known. The requests of other instances are a Poisson distribution around the mean of the load reports, so a server that is nearly full on average is expected to make some wait. An unknown familiarity is expected like the more familiar one, so that servers are tried out.

The test 'without reports of the pace nothing is forecast' named the old switch. It is replaced by two: without load reports nothing is forecast; without the fourth figure the servers that turn slow are found from answers alone.

Tests that failed before: without the server's own pace the work is forecast from answers alone; the usual pace of a server that gets nothing is forgotten; a server that is nearly full on average is expected to make some wait; answers of a server at which others wait don't make a route look dear.

--- a/src/decide/cost.cc
+++ b/src/decide/cost.cc
@@ -27,6 +27,8 @@
 // Answers that lie further apart than this say nothing about each other.
 constexpr Duration kRatioMemory = std::chrono::seconds(3);
 constexpr double kUsualPaceSmoothing = 0.1;
+// Half-life of the usual pace of a server that is not used, so that it is tried again.
+constexpr Seconds kUsualPaceHalfLife{ 4 };
 constexpr double kMinPace = 0.1;
 constexpr double kMaxPace = 50;
 // Ratios up to this one say nothing about the server: it may have forgotten the object.
@@ -34,6 +36,8 @@
 // Expected rest of the work of a request that takes longer than forecast, as a fraction
 // of the time since its start.
 constexpr double kLongRestFraction = 0.5;
+// Probability below which further requests of other instances are not considered.
+constexpr double kNegligible = 0.01;
 
 double FadeToOne(double aFactor, Seconds aAge, Seconds aHalfLife)
 {
@@ -73,7 +77,7 @@
 }
 
 // Until a familiarity is known, a request is expected to take as long as with the next
-// less or more familiar one. The servers are tried out this way.
+// more or less familiar one. The servers are tried out this way.
 std::optional<Duration> WorkForecast::Expect(const WorkClass& aClass) const
 {
   auto found = mRoutes.find(aClass.mRoute);
@@ -83,7 +87,7 @@
   std::size_t wanted = static_cast<std::size_t>(aClass.mFamiliarity);
   std::size_t size = SizeClassOf(aClass.mBodyBytes);
   for (std::size_t distance = 0; distance < kFamiliarityCount; ++distance) {
-    for (std::size_t familiarity : { wanted + distance, wanted - distance }) {
+    for (std::size_t familiarity : { wanted - distance, wanted + distance }) {
       if (familiarity >= kFamiliarityCount) {
         continue;
       }
@@ -128,6 +132,7 @@
 void Pace::Observe(double aRatio, Instant aNow)
 {
   double ratio = std::clamp(aRatio, kMinPace, kMaxPace);
+  mUsual = Usual(aNow);
   bool inRow = aNow - mObservedAt < kRatioMemory;
   double excess = ratio / mUsual > kColdRatio ? ratio / mUsual : 1;
   double previous = inRow ? mLastRatio : 1;
@@ -143,11 +148,16 @@
   return FadeToOne(mReported, aNow - mReportedAt, kReportHalfLife);
 }
 
+double Pace::Usual(Instant aNow) const
+{
+  return FadeToOne(mUsual, aNow - mObservedAt, kUsualPaceHalfLife);
+}
+
 double Pace::At(Instant aNow) const
 {
   double excess = FadeToOne(mExcess, aNow - mObservedAt, kExcessHalfLife);
   double reported = Reported(aNow);
-  return mUsual * (excess > 1 ? std::max(excess, reported) : reported);
+  return Usual(aNow) * (excess > 1 ? std::max(excess, reported) : reported);
 }
 
 void Backlog::Add(const Flight& aFlight)
@@ -168,27 +178,33 @@
 }
 
 // Hands the requests to the slots in order of their sending, each to the slot that is
-// free first.
+// free first. The number of other requests has a Poisson distribution around its mean,
+// since they come from many instances that know little of each other.
 Duration Backlog::WaitForSlot(unsigned aSlots,
                               double aOthers,
                               Duration aOtherWork,
                               Instant aNow) const
 {
-  std::vector<Duration> slots(std::max(1U, aSlots), Duration::zero());
-  auto add = [&](Duration aRest) { *std::ranges::min_element(slots) += aRest; };
+  std::vector<Seconds> slots(std::max(1U, aSlots), Seconds::zero());
+  auto add = [&](Seconds aRest) { *std::ranges::min_element(slots) += aRest; };
   for (const Flight& flight : mFlights) {
     Duration elapsed = aNow - flight.mSentAt - flight.mWait;
     Duration rest = std::min(flight.mWork, flight.mWork - elapsed);
-    Duration longRest = std::chrono::duration_cast<Duration>(kLongRestFraction * elapsed);
-    add(rest > Duration::zero() ? rest : longRest);
+    add(rest > Duration::zero() ? Seconds(rest) : Seconds(kLongRestFraction * elapsed));
   }
-  // On average half of the work of a running request is done.
-  auto others = static_cast<unsigned>(std::lround(std::max(0.0, aOthers)));
-  for (unsigned i = 0; i < others; ++i) {
-    bool running = mFlights.size() + i < aSlots;
-    add(running ? aOtherWork / 2 : aOtherWork);
+  double mean = std::max(0.0, aOthers);
+  double probability = std::exp(-mean); // of as many others as were added
+  double left = 1 - probability;        // probability of more
+  Seconds wait = probability * *std::ranges::min_element(slots);
+  for (unsigned others = 1; left > kNegligible; ++others) {
+    // On average half of the work of a running request is done.
+    bool running = mFlights.size() + others <= aSlots;
+    add(running ? Seconds(aOtherWork) / 2 : Seconds(aOtherWork));
+    probability *= mean / others;
+    left -= probability;
+    wait += probability * *std::ranges::min_element(slots);
   }
-  return *std::ranges::min_element(slots);
+  return std::chrono::duration_cast<Duration>(wait);
 }
 
 double Backlog::OverdueRatio(Instant aNow) const
--- a/src/decide/cost.h
+++ b/src/decide/cost.h
@@ -21,11 +21,12 @@
 {
   Recent, // this instance sent a request for the object recently
   Home,   // all instances of the data centre send requests for the object there first
+  SecondHome, // or there, whichever ends them earlier
   Copy,   // instances of the region's other data centres do
   Foreign
 };
 
-constexpr std::size_t kFamiliarityCount = 4;
+constexpr std::size_t kFamiliarityCount = 5;
 
 // What the work of a request depends on.
 struct WorkClass
@@ -82,8 +83,8 @@
   // not.
   void Observe(double aRatio, Instant aNow);
   double At(Instant aNow) const;
-  // Moving average of the observed ratios.
-  double Usual() const { return mUsual; }
+  // Moving average of the observed ratios, forgotten while there are none.
+  double Usual(Instant aNow) const;
   // The part of the pace that the server reported last.
   double Reported(Instant aNow) const;
 
@@ -115,8 +116,9 @@
   void Add(const Flight& aFlight);
   // Removes a request. aAnswered: it got an answer of the server.
   void Remove(std::uint64_t aNumber, bool aAnswered);
-  // Time until a slot becomes free. aOthers is the estimated number of requests of other
-  // instances, of which each takes aOtherWork in all.
+  // Mean time until a slot becomes free. aOthers is the mean number of requests of other
+  // instances, of which each takes aOtherWork in all; their number at this moment is not
+  // known.
   Duration WaitForSlot(unsigned aSlots,
                        double aOthers,
                        Duration aOtherWork,
--- a/src/decide/fleet.cc
+++ b/src/decide/fleet.cc
@@ -349,7 +349,7 @@
 bool Fleet::ForecastsWork(ServiceId aService) const
 {
   return mConfig && !aService.IsNone() &&
-         mPacedServices.contains(mConfig->mServices[aService.Value()].mName);
+         mReportingServices.contains(mConfig->mServices[aService.Value()].mName);
 }
 
 Familiarity Fleet::FamiliarityOf(const Candidate& aCandidate,
@@ -368,7 +368,7 @@
 }
 
 // Returns the flight of a request that is sent now. Its wait and work are zero if the
-// service's servers do not report their pace or the route is unknown.
+// service's servers do not report their load or the route is unknown.
 Flight Fleet::ForecastAt(const Candidate& aCandidate,
                          const Ranking& aRanking,
                          const PlacementQuery& aQuery,
@@ -388,14 +388,19 @@
     return flight;
   }
   double pace = std::max(server.mPace.At(aNow),
-                         server.mPace.Usual() * server.mBacklog.OverdueRatio(aNow));
+                         server.mPace.Usual(aNow) * server.mBacklog.OverdueRatio(aNow));
   flight.mWork = std::chrono::duration_cast<Duration>(Seconds(*usual) * pace);
+  // Most requests at a server are for objects that have their home there.
+  WorkClass other = flight.mClass;
+  other.mFamiliarity = Familiarity::Home;
+  Seconds usualOther = mWorkForecast.Expect(other).value_or(*usual);
+  Duration otherWork = std::chrono::duration_cast<Duration>(usualOther * pace);
   unsigned slots = server.mRegistration.mSlots;
   double others = OtherInstancesLoad(server, aNow);
   if (!HasFreeSlot(server, aNow)) {
     others = std::max(others, double(slots) - server.mInFlight);
   }
-  flight.mWait = server.mBacklog.WaitForSlot(slots, others, flight.mWork, aNow);
+  flight.mWait = server.mBacklog.WaitForSlot(slots, others, otherWork, aNow);
   return flight;
 }
 
@@ -539,16 +544,19 @@
   aServer->mMeanOtherLoad +=
     kReportSmoothing * (aServer->mOtherLoad - aServer->mMeanOtherLoad);
   aServer->mReportedAt = aNow;
+  aServer->mWaiting = aLoad.mWaiting;
   if (aLoad.mPace) {
     aServer->mPace.Report(*aLoad.mPace, aNow);
-    mPacedServices.insert(aServer->mRegistration.mService);
   }
+  mReportingServices.insert(aServer->mRegistration.mService);
 }
 
-// Compares an answer with its forecast and updates what later forecasts rest on.
+// Compares an answer with its forecast and updates what later forecasts rest on. How long
+// a request waited in a server's queue is not known, so the work is learned only where
+// nobody waits.
 void Fleet::LearnWork(Server& aServer, const Flight& aFlight, Instant aNow)
 {
-  if (!mPacedServices.contains(aServer.mRegistration.mService)) {
+  if (!mReportingServices.contains(aServer.mRegistration.mService)) {
     return;
   }
   Duration took = aNow - aFlight.mSentAt;
@@ -557,9 +565,10 @@
   if (auto expected = mWorkForecast.Expect(aFlight.mClass)) {
     aServer.mPace.Observe(atUsualPace / Seconds(*expected), aNow);
   }
-  mWorkForecast.Learn(
-    aFlight.mClass,
-    std::chrono::duration_cast<Duration>(atUsualPace / aServer.mPace.Usual()));
+  if (aServer.mWaiting == 0) {
+    Seconds usual = atUsualPace / aServer.mPace.Usual(aNow);
+    mWorkForecast.Learn(aFlight.mClass, std::chrono::duration_cast<Duration>(usual));
+  }
 }
 
 void Fleet::RecordResult(const ServerPtr& aServer,
--- a/src/decide/fleet.h
+++ b/src/decide/fleet.h
@@ -76,6 +76,7 @@
   Instant mColdUntil{};
   Instant mPausedUntil{};
   Instant mReportedAt{};
+  unsigned mWaiting = 0;     // requests that waited there at mReportedAt
   double mOtherLoad = 0;     // requests of other instances at mReportedAt
   double mMeanOtherLoad = 0; // moving average over reports
   double mFaultRate = 0;     // moving average of the fraction of failed requests
@@ -208,7 +209,7 @@
   {
     return !IsLeaving(aServer) && !IsPaused(aServer, aNow);
   }
-  // True if the service's servers report their pace. The time of its requests is then
+  // True if the service's servers report their load. The time of its requests is then
   // forecast.
   bool ForecastsWork(ServiceId aService) const;
 
@@ -279,7 +280,7 @@
   std::map<std::string, ServerPtr> mServers; // by registered name
   std::set<std::string> mEvacuated;          // names of data centres
   ServerNotices mNotices;
-  std::set<std::string> mPacedServices; // names of those whose servers report a pace
+  std::set<std::string> mReportingServices; // names of those whose servers report a load
   WorkForecast mWorkForecast;
   std::uint64_t mNextFlight = 1;
   ShiftLimiter mShiftLimiter;
--- a/tests/unit/decide_cost.cc
+++ b/tests/unit/decide_cost.cc
@@ -44,6 +44,7 @@
   Instant mNow = kStart;
   std::multimap<Instant, Running> mRunning; // by their end
   double mSlowFactor = 1;                   // of the slow servers
+  bool mReportsLoad = true;
   bool mReportsPace = true;
 
   explicit Load(int aServersPerDataCentre)
@@ -98,7 +99,9 @@
       if (mReportsPace) {
         report.mPace = 1;
       }
-      mFleet.RecordLoad(server, report, end - running.mSentAt, end);
+      if (mReportsLoad) {
+        mFleet.RecordLoad(server, report, end - running.mSentAt, end);
+      }
       mFleet.RecordResult(server, SendResult::Answered, end, running.mChoice.mFlight);
     }
     mNow = aTo;
@@ -230,11 +233,64 @@
   CHECK(*forecast.Expect(work) < kWarmWork * 5 / 4);
 }
 
-TEST_CASE("without reports of the pace nothing is forecast")
+// The servers of the days played so far never sent the fourth figure, so nothing was
+// forecast on them.
+TEST_CASE("without the server's own pace the work is forecast from answers alone")
 {
-  Load load(1);
+  Load load(10);
   load.mReportsPace = false;
+  load.Run(5s);
+  CHECK(load.mFleet.ForecastsWork(ServiceId(0)));
+  CHECK(load.ForecastOfSlow() < kWarmWork * 3 / 2);
+  load.mSlowFactor = 12;
+  load.Run(2s);
+  CHECK(load.ForecastOfSlow() > kWarmWork * 2);
+}
+
+TEST_CASE("without load reports nothing is forecast")
+{
+  Load load(1);
+  load.mReportsLoad = false;
   load.Run(3s);
   CHECK_FALSE(load.mFleet.ForecastsWork(ServiceId(0)));
   CHECK(load.Send(1).mFlight.mWork == 0ms);
 }
+
+TEST_CASE("the usual pace of a server that gets nothing is forgotten")
+{
+  Pace pace;
+  for (int i = 0; i < 50; ++i) {
+    pace.Observe(3, kStart);
+  }
+  CHECK(pace.At(kStart) > 2.5);
+  CHECK(pace.At(kStart + 20s) < 1.1);
+}
+
+// 14 instances send to one server, each knows only how many requests the others have there
+// on average.
+TEST_CASE("a server that is nearly full on average is expected to make some wait")
+{
+  Backlog backlog;
+  CHECK(backlog.WaitForSlot(kSlots, 0, kWarmWork, kStart) == 0ms);
+  Duration half = backlog.WaitForSlot(kSlots, kSlots / 2, kWarmWork, kStart);
+  Duration full = backlog.WaitForSlot(kSlots, kSlots, kWarmWork, kStart);
+  CHECK(half > 0ms);
+  CHECK(half < kWarmWork / 8);
+  CHECK(full > 2 * half);
+  CHECK(full < kWarmWork);
+}
+
+TEST_CASE("answers of a server at which others wait don't make a route look dear")
+{
+  Load load(1);
+  load.Run(3s);
+  for (int i = 0; i < 20; ++i) {
+    ServerChoice choice = load.mFleet.Choose(load.QueryFor(1), load.mNow);
+    load.mNow += 2s;
+    load.mFleet.RecordLoad(choice.mServer, { kSlots, 9, kSlots }, 2s, load.mNow);
+    load.mFleet.RecordResult(
+      choice.mServer, SendResult::Answered, load.mNow, choice.mFlight);
+    load.mNow += 200s;
+  }
+  CHECK(load.mFleet.Choose(load.QueryFor(1), load.mNow).mFlight.mWork < kWarmWork * 9 / 8);
+}
