--- a/src/decide/cost.h
+++ b/src/decide/cost.h
@@ -19,10 +19,10 @@
 // How likely a server remembers the object of a request, the most likely first.
 enum class Familiarity : std::uint8_t
 {
-  Recent, // this instance sent a request for the object recently
-  Home,   // all instances of the data centre send requests for the object there first
+  Recent,     // this instance sent a request for the object recently
+  Home,       // all instances of the data centre send requests for the object there first
   SecondHome, // or there, whichever ends them earlier
-  Copy,   // instances of the region's other data centres do
+  Copy,       // instances of the region's other data centres do
   Foreign
 };
 
--- a/tests/unit/decide_cost.cc
+++ b/tests/unit/decide_cost.cc
@@ -266,8 +266,8 @@
   CHECK(pace.At(kStart + 20s) < 1.1);
 }
 
-// 14 instances send to one server, each knows only how many requests the others have there
-// on average.
+// 14 instances send to one server, each knows only how many requests the others have
+// there on average.
 TEST_CASE("a server that is nearly full on average is expected to make some wait")
 {
   Backlog backlog;
