Found by reading: answers of a second server, refusals of forwarded orders, a copy at the end of a process

A reader of the merged parts found these:

Test: the answer of the second server replaces the failure of the first one. - An instance to which an issuer forwards an order answered outcome-unknown where it had no capacity: the issuer then remembered that for ever. Only the issuer's own answer is translated now. Test: an order that its issuer forwards is refused as not run without capacity. - An issuer's refusal before the organisation is resolved uses the name that came with the request. - The account of the forwarder's copy lived in a coroutine frame that may outlive the account at the end of the process, and its refusal was taken for the issuer's word. - A caller that has left takes no place in the schedule of returns.

--- a/src/entry/direct.cc
+++ b/src/entry/direct.cc
@@ -309,6 +309,7 @@
                                    aChoice.mFlight.Expected(),
                                    mCore.Now() - sent);
   }
+  aAttempts.mFailure.reset();
   if (answer.mServerFailed) {
     aAttempts.mFailure = answer.mOutcome;
   }
--- a/src/entry/pipeline.cc
+++ b/src/entry/pipeline.cc
@@ -140,8 +140,9 @@
       aExchange.mIssuerAnswered) {
     return aCode;
   }
+  const std::string& forwarded = aExchange.mOrganisationName;
   bool notRun = mCore.mLedger.IsNotRun(
-    aExchange.mTicket, aExchange.OrganisationNameOr(""), mCore.Now());
+    aExchange.mTicket, aExchange.OrganisationNameOr(forwarded.c_str()), mCore.Now());
   return notRun ? aCode : Result::OutcomeUnknown;
 }
 
@@ -190,7 +191,8 @@
 {
   bool capacity = aCode == Result::QueueTimeout || aCode == Result::QueueFull ||
                   aCode == Result::BackendServerShed;
-  if (!capacity || aExchange.mService.IsNone()) {
+  bool returns = !aExchange.CallerDisconnected();
+  if (!capacity || !returns || aExchange.mService.IsNone()) {
     return nullptr;
   }
   return &mCore.mReturns.Of(aExchange.ServiceName(), aExchange.MatchedRoute().mPriority);
@@ -526,11 +528,6 @@
   request.set_method(aExchange.mMethod);
   request.set_target(aExchange.mTarget);
   request.set_content_type(aExchange.mContentType);
-  Hold copy(mCore.mMemory, {}); // of the body, beside the request's own
-  if (!copy.GrowMessage(aExchange.mBody.size())) {
-    throw RequestError(Result::MemoryFull);
-  }
-  copy.EnterPhase(decide::HoldPhase::Serving);
   request.set_body(aExchange.mBody);
   auto left = std::chrono::duration_cast<std::chrono::milliseconds>(aExchange.mDeadline -
                                                                     mCore.Now());
--- a/src/entry/relay.cc
+++ b/src/entry/relay.cc
@@ -206,15 +206,15 @@
   exchange.mArrival = mCore.Now();
   exchange.mDeadline = mCore.Now() + peer::TimeFromWire(aRequest.deadline_ms());
   wire::ForwardReply reply;
+  auto ticket = decide::Ticket::Parse(exchange.mTicket);
+  bool issuedHere =
+    aRequest.order() && ticket && ticket->mIssuer.mAddress == mCore.Self().mAddress;
   try {
     if (!hold.GrowMessage(kForwardedCopies * exchange.mBody.size())) {
       throw base::RequestError(Result::MemoryFull);
     }
     hold.EnterPhase(decide::HoldPhase::Serving);
     mResolver.Resolve(exchange);
-    auto ticket = decide::Ticket::Parse(exchange.mTicket);
-    bool issuedHere =
-      aRequest.order() && ticket && ticket->mIssuer.mAddress == mCore.Self().mAddress;
     bool sameDataCentre = aRequest.data_centre() == mCore.mSettings.mDataCentre;
     decide::Origin origin =
       sameDataCentre ? decide::Origin::Local : decide::Origin::Remote;
@@ -229,7 +229,9 @@
     reply.set_content_type(outcome.mContentType);
     reply.set_body(std::move(outcome.mBody));
   } catch (const base::RequestError& error) {
-    Result result = mPipeline.ResultForCaller(error.Code(), exchange);
+    // An issuer that sends its order here knows itself whether it ran before.
+    Result result =
+      issuedHere ? mPipeline.ResultForCaller(error.Code(), exchange) : error.Code();
     reply.set_result(static_cast<std::uint32_t>(result));
   }
   co_return reply;
--- a/tests/unit/entry.cc
+++ b/tests/unit/entry.cc
@@ -526,6 +526,61 @@
   CHECK_FALSE(own.Received().empty());
 }
 
+// Marks answers of the status class 5xx as failures of the server.
+struct FailureFormat final : Format
+{
+  NativeFormat mNative;
+
+  Exchange FromCaller(net::Request aRequest) const override
+  {
+    return mNative.FromCaller(std::move(aRequest));
+  }
+  net::Response ToCaller(decide::Outcome aOutcome) const override
+  {
+    return mNative.ToCaller(std::move(aOutcome));
+  }
+  net::Request ToServer(const Exchange& aExchange,
+                        const AttemptMetadata& aMetadata) const override
+  {
+    return mNative.ToServer(aExchange, aMetadata);
+  }
+  ServerAnswer FromServer(net::Response aResponse) const override
+  {
+    bool failed = aResponse.result_int() >= 500;
+    ServerAnswer answer = mNative.FromServer(std::move(aResponse));
+    answer.mServerFailed = failed;
+    return answer;
+  }
+};
+
+// Guards against a failure that reaches a caller though its request was repeated with
+// success: the failure of the first server was kept beyond the second one's answer.
+TEST_CASE("the answer of the second server replaces the failure of the first one")
+{
+  Fixture fixture;
+  FailureFormat format;
+  BackendClient backend(fixture.mCore, format);
+  DirectPlacement direct(fixture.mCore, backend);
+  auto config =
+    std::make_shared<decide::Config>(*decide::ParseConfig(ConfigText(2, "strict key")));
+  for (decide::Route& route : config->mRoutes) {
+    route.mMaxServers = 2;
+  }
+  fixture.mCore.AcceptConfig(config);
+  fixture.mCore.mRetryBudget.Earn("s", 200, 4);
+  test::CannedServer failing(
+    fixture.mContext,
+    "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 2\r\n\r\nno");
+  fixture.AddServer("i-failing", "s", failing.Address(), 4);
+  test::CannedServer sound(fixture.mContext, kOkResponse);
+  Exchange exchange = fixture.ResolvedLookup("/open");
+  boost::asio::post(fixture.mContext,
+                    [&] { fixture.AddServer("i-sound", "s", sound.Address(), 4); });
+  decide::Outcome outcome = test::RunCoroutine(fixture.mContext, direct.Place(exchange));
+  CHECK(outcome.mStatus == 200);
+  CHECK(outcome.mBody == "ok");
+}
+
 // Guards against a request that is sent without its organisation: its key is withdrawn
 // between the first server and the second one.
 TEST_CASE("a request whose key is withdrawn before a retry is refused")
@@ -698,6 +753,24 @@
   CHECK(dump.find("organisation:lenient") != std::string::npos);
 }
 
+// Guards against an order that is lost to its caller: its issuer forwards it to an
+// instance without capacity, whose refusal has to say that it did not run there.
+TEST_CASE("an order that its issuer forwards is refused as not run without capacity")
+{
+  Fixture fixture;
+  Relay relay(fixture.mCore, fixture.mPipeline, fixture.mAdmission.mTokens);
+  decide::TicketLedger issuer(
+    { "127.0.0.1:1", 1 }, "another secret", std::chrono::seconds(30));
+  peer::wire::ForwardRequest request;
+  request.set_target("/order");
+  request.set_method("POST");
+  request.set_organisation("lenient");
+  request.set_order(true);
+  request.set_ticket(*issuer.Issue("lenient", fixture.mClock.Now()));
+  auto reply = test::RunCoroutine(fixture.mContext, relay.OnForward(request));
+  CHECK(static_cast<Result>(reply.result()) == Result::NoBackendServer);
+}
+
 // Guards against a process that runs out of memory by what peers forward to it.
 TEST_CASE("a forwarded request for whose body there is no room is refused as not run")
 {
