A request may spill also if it first asks after its time to spill

Found by reading: the time to spill was a window of 50 ms from an eighth of the latency target. A request that waited for tokens, whose first server failed, or whose instance was held up asked behind it, never used its other candidates, and was refused beside idle servers. The window counts from its first offer at or after that time now.

--- a/src/decide/dispatch.cc
+++ b/src/decide/dispatch.cc
@@ -67,8 +67,10 @@
 
 void Dispatcher::OfferTo(Waiter& aWaiter, Instant aNow)
 {
-  Instant spillAt = aWaiter.mRequest.mSpillAt;
-  aWaiter.mRequest.mQuery.mMaySpill = aNow >= spillAt && aNow < spillAt + kSpillTime;
+  if (aNow >= aWaiter.mRequest.mSpillAt && !aWaiter.mSpillUntil) {
+    aWaiter.mSpillUntil = aNow + kSpillTime;
+  }
+  aWaiter.mRequest.mQuery.mMaySpill = aWaiter.mSpillUntil && aNow < *aWaiter.mSpillUntil;
   aWaiter.mChoice = mFleet.Choose(aWaiter.mRequest.mQuery, aNow);
 }
 
@@ -157,7 +159,7 @@
   Step step = StepOf(aNumber, aWaiter, aNow);
   // A caller that repeats at once has had its chance to spill.
   bool maySpill = aWaiter.mRequest.mTerms.mReturn != Return::TooSoon;
-  if (step == Step::Refuse && maySpill && aNow < aWaiter.mRequest.mSpillAt) {
+  if (step == Step::Refuse && maySpill && !aWaiter.mSpillUntil) {
     aWaiter.mRequest.mSpillAt = aNow; // rather than refuse it
     OfferTo(aWaiter, aNow);
     step = aWaiter.mChoice.mServer ? Step::Start : Step::Refuse;
