A claim of shares that failed is repeated at once; a silent holder costs one question

Found by reading: a read of the document that failed, or a write that lost its compare-and-swap, counted as the read of the next 15 s, so after a restart of the fleet a former holder could leave its data centre without shares that long. A leaving instance no longer claims. A round of questions to other holders ends with its time also when they are silent, and a refused connection makes a holder suspect.

--- a/src/daemon/loops.cc
+++ b/src/daemon/loops.cc
@@ -270,6 +270,9 @@
     if (mCore.Config() && mClaim.IsDue(mCore.Status(), mCore.mMembers, mCore.Now())) {
       try {
         bool renewed = co_await RenewSharesOnce();
+        if (renewed) {
+          mClaim.RecordRead(mCore.Now());
+        }
         Duration interval =
           mCore.mShares.IsHolder() ? mCore.mSettings.mRenewInterval : kClaimRetryInterval;
         delay = renewed ? interval : kConflictRetryInterval;
--- a/src/decide/claim.cc
+++ b/src/decide/claim.cc
@@ -33,6 +33,9 @@
     mNoHolderSince.reset();
     return aSelf.mHoldsShares;
   }
+  if (aSelf.mLeaving) {
+    return false;
+  }
   if (!mNoHolderSince) {
     mNoHolderSince = aNow;
   }
@@ -45,12 +48,8 @@
 
 bool ShareClaim::IsDue(const MemberStatus& aSelf, const Members& aMembers, Instant aNow)
 {
-  bool due = MayClaim(aSelf, aMembers, aNow);
-  due = due || !mReadAt || aNow - *mReadAt >= kShareReadInterval;
-  if (due) {
-    mReadAt = aNow;
-  }
-  return due;
+  bool mayClaim = MayClaim(aSelf, aMembers, aNow);
+  return mayClaim || !mReadAt || aNow - *mReadAt >= kShareReadInterval;
 }
 
 } // namespace vanillaloft::decide
--- a/src/decide/claim.h
+++ b/src/decide/claim.h
@@ -24,11 +24,14 @@
   // True if this instance is to read the document now. aSelf is its status, aMembers the
   // other instances. The first read is due at once.
   bool IsDue(const MemberStatus& aSelf, const Members& aMembers, Instant aNow);
+  // Records that the document was read, and written if this instance claimed shares.
+  // After a failure the next read is due at once.
+  void RecordRead(Instant aNow) { mReadAt = aNow; }
 
 private:
   bool MayClaim(const MemberStatus& aSelf, const Members& aMembers, Instant aNow);
 
-  std::optional<Instant> mReadAt;        // when a read was due last
+  std::optional<Instant> mReadAt;        // when the document was read last
   std::optional<Instant> mNoHolderSince; // no instance of the data centre holds and stays
 };
 
--- a/src/entry/tokens.cc
+++ b/src/entry/tokens.cc
@@ -238,7 +238,8 @@
   bool answered = true;
   for (const std::string& holder : OtherHolders(aBudget)) {
     Instant askedAt = mCore.Now();
-    if (!refusedBy.empty() && askedAt >= aUntil) {
+    bool anyAsked = !answered || !refusedBy.empty();
+    if (anyAsked && askedAt >= aUntil) {
       break;
     }
     milliseconds timeout = AnswerTimeout(askedAt, aUntil);
@@ -257,9 +258,9 @@
         co_return true;
       }
       refusedBy.push_back(holder);
-    } catch (const peer::PeerError&) {
+    } catch (const peer::PeerError& error) {
       answered = false;
-      if (timeout == kTokenRequestTimeout) {
+      if (timeout == kTokenRequestTimeout || !error.MayHaveArrived()) {
         RecordFailure(holder);
       }
     }
--- a/tests/unit/decide_claim.cc
+++ b/tests/unit/decide_claim.cc
@@ -26,7 +26,15 @@
   ShareClaim mClaim;
 
   void Hear(const MemberStatus& aStatus) { mMembers.RecordStatus(aStatus, mNow); }
-  bool IsDue() { return mClaim.IsDue(mSelf, mMembers, mNow); }
+  // A read that is due takes place.
+  bool IsDue()
+  {
+    bool due = mClaim.IsDue(mSelf, mMembers, mNow);
+    if (due) {
+      mClaim.RecordRead(mNow);
+    }
+    return due;
+  }
 };
 
 } // namespace
@@ -69,6 +77,18 @@
   CHECK(mates.IsDue());
 }
 
+// Guards against a data centre without shares for 15 s: after a restart of the fleet all
+// former holders write the document at once, and all but one lose.
+TEST_CASE("a read that failed, or a write that lost, is repeated at once")
+{
+  Mates mates;
+  mates.Hear(StatusOf("127.0.0.1:4", 20));
+  CHECK(mates.mClaim.IsDue(mates.mSelf, mates.mMembers, mates.mNow));
+  CHECK(mates.mClaim.IsDue(mates.mSelf, mates.mMembers, mates.mNow));
+  mates.mClaim.RecordRead(mates.mNow);
+  CHECK_FALSE(mates.IsDue());
+}
+
 // Guards against a data centre without shares: who should claim them cannot.
 TEST_CASE(
   "the next instance claims if the first is lost, leaves or is cut from the store")
--- a/tests/world/world.cc
+++ b/tests/world/world.cc
@@ -611,6 +611,7 @@
                           NodeNow(aNode));
     auto planned = self.mShares->PlanWrite(NodeNow(aNode));
     if (!planned) {
+      self.mClaim.RecordRead(NodeNow(aNode));
       again(kClaimRetryInterval);
       return;
     }
@@ -622,6 +623,7 @@
           again(kTickInterval * 5);
         } else if (*aSwapped) {
           shares.WriteCommitted(NodeNow(aNode));
+          mNodes[aNode]->mClaim.RecordRead(NodeNow(aNode));
           again(kRenewInterval);
         } else {
           shares.WriteConflicted();
