--- a/src/decide/dispatch.cc
+++ b/src/decide/dispatch.cc
@@ -67,10 +67,8 @@
 
 void Dispatcher::OfferTo(Waiter& aWaiter, Instant aNow)
 {
-  if (aNow >= aWaiter.mRequest.mSpillAt && !aWaiter.mSpillUntil) {
-    aWaiter.mSpillUntil = aNow + kSpillTime;
-  }
-  aWaiter.mRequest.mQuery.mMaySpill = aWaiter.mSpillUntil && aNow < *aWaiter.mSpillUntil;
+  Instant spillAt = aWaiter.mRequest.mSpillAt;
+  aWaiter.mRequest.mQuery.mMaySpill = aNow >= spillAt && aNow < spillAt + kSpillTime;
   aWaiter.mChoice = mFleet.Choose(aWaiter.mRequest.mQuery, aNow);
 }
 
@@ -159,7 +157,7 @@
   Step step = StepOf(aNumber, aWaiter, aNow);
   // A caller that repeats at once has had its chance to spill.
   bool maySpill = aWaiter.mRequest.mTerms.mReturn != Return::TooSoon;
-  if (step == Step::Refuse && maySpill && !aWaiter.mSpillUntil) {
+  if (step == Step::Refuse && maySpill && aNow < aWaiter.mRequest.mSpillAt) {
     aWaiter.mRequest.mSpillAt = aNow; // rather than refuse it
     OfferTo(aWaiter, aNow);
     step = aWaiter.mChoice.mServer ? Step::Start : Step::Refuse;
--- a/src/decide/dispatch.h
+++ b/src/decide/dispatch.h
@@ -77,9 +77,6 @@
     Instant mAskedAt{};
     ServerChoice mChoice; // with a server: not yet claimed
     bool mEvicted = false;
-    // Until when it may spill, counted from the first offer at its time to spill. A
-    // request may ask late: it waited for tokens, or is sent to another server.
-    std::optional<Instant> mSpillUntil;
   };
   struct Queue
   {
--- a/src/decide/overload.cc
+++ b/src/decide/overload.cc
@@ -298,7 +298,7 @@
   Duration delay = booked - aNow;
   bool late = aElapsed + delay >= HonouredTime(aElapsed + aLeft, kToldPart);
   if (late || delay > aLeft / kHonouredPart) {
-    return aLeft;
+    return std::max(delay, aLeft);
   }
   mLastBooked = booked;
   return delay;
