--- a/review/lib-2/smallsite.py
+++ b/review/lib-2/smallsite.py
@@ -381,6 +381,8 @@
 
     async def ready(self, within_s=15):
         for _ in range(int(within_s * 10)):
+            if self.process.returncode is not None:
+                raise CannotRun(f"instance {self.zone} has ended with {self.process.returncode}")
             try:
                 answer = await asyncio.wait_for(get(self.readiness, "/v1/readiness"), 1)
                 if answer and answer[0] == 200:
@@ -452,19 +454,31 @@
         self.record.add(f"configuration r{version} acknowledged")
 
     async def start(self, zones, stdout=None):
-        """Starts an instance in each zone. `stdout`: descriptors for the logs of some zones."""
-        self.instances = [Instance(self, zone) for zone in zones]
-        for instance in self.instances:
-            await instance.start((stdout or {}).get(instance.zone))
-        for instance in self.instances:
-            await instance.ready()
+        """Starts an instance in each zone. `stdout`: descriptors for the logs of some zones.
 
-    async def close(self):
+        Another program may take a port between its choice and its use; then all start again with other ports."""
+        for attempt in range(3):
+            self.instances = [Instance(self, zone) for zone in zones]
+            for instance in self.instances:
+                await instance.start((stdout or {}).get(instance.zone))
+            try:
+                for instance in self.instances:
+                    await instance.ready()
+                return
+            except CannotRun as error:
+                self.record.add(str(error))
+                await self.end_instances()
+        raise CannotRun("the instances do not become ready")
+
+    async def end_instances(self):
         for instance in self.instances:
             if instance.process and instance.process.returncode is None:
                 instance.process.send_signal(signal.SIGCONT)
                 instance.process.kill()
                 await instance.process.wait()
+
+    async def close(self):
+        await self.end_instances()
         for task in self.tasks:
             task.cancel()
         for server in self.servers:
