--- a/review/8/case.py
+++ b/review/8/case.py
@@ -24,7 +24,10 @@
     await site.configure(1, ["giacenza"], [("hulo84.example", "/leny950/", "safe", "giacenza", TIMEOUT_S, 0.6, 2, 1)],
                          [{"name": "cuka620", "api_keys": [KEY], "priority": 1}])
     reading, writing = os.pipe()
-    reader = await asyncio.create_subprocess_exec("cat", stdin=reading, stdout=asyncio.subprocess.DEVNULL)
+    # In a session of its own: the kernel ends a stopped process with SIGHUP when its group loses its last parent, as
+    # when the shell that started this script ends meanwhile.
+    reader = await asyncio.create_subprocess_exec("cat", stdin=reading, stdout=asyncio.subprocess.DEVNULL,
+                                                  start_new_session=True)
     os.close(reading)
     await site.start(list(ZONES), stdout={"ct-a": writing})
     os.close(writing)
--- a/review/lib-2/smallsite.py
+++ b/review/lib-2/smallsite.py
@@ -18,6 +18,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from urllib.parse import parse_qs, unquote, urlsplit
 
 REPOSITORY = pathlib.Path(__file__).resolve().parents[2]
@@ -551,7 +552,7 @@
         record.add(f"the case could not run: {error}")
         verdict = NOT_RUN
     except Exception as error:  # the script itself failed: no statement about the rule
-        record.add(f"the script failed: {type(error).__name__}: {error}")
+        record.add(f"the script failed: {type(error).__name__}: {error}\n{traceback.format_exc()}")
         verdict = NOT_RUN
     record.add({HELD: "the rule held", BROKEN: "the rule was broken", NOT_RUN: "no verdict"}[verdict])
     record.write(folder)
