--- a/review/lib-2/smallsite.py
+++ b/review/lib-2/smallsite.py
@@ -12,6 +12,7 @@
 import pathlib
 import random
 import resource
+import shutil
 import signal
 import socket
 import sys
@@ -375,7 +376,6 @@
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         environment["VANILLALOFT_BOOT"] = str(path)
         log = stdout if stdout is not None else open(path.with_suffix(".log"), "wb")
-        self.log = path.with_suffix(".log")
         self.process = await asyncio.create_subprocess_exec(
             *command, cwd=REPOSITORY, env=environment, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log)
         self.site.record.add(f"instance {self.zone} started, process {self.process.pid}, frontend {self.frontend}")
@@ -484,6 +484,7 @@
             task.cancel()
         for server in self.servers:
             server.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 class Client:
