Net: a response without a length that is reset during the upload is not whole

What callers saw: a server answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written; the caller got that part as a complete answer (MIXED). A refusal that broke off in the same way counted as "not run": the order ran at a second server too. Cause: the kernel reports the failure of a connection once, to whichever call comes first. The pending write is woken before the read and took the reset; its error was dropped on purpose, and the read after it saw an ordinary end of the stream, which ends a response without a length. A time-out of the connection takes the same way. Change: the error of the write is kept. Where the end of the connection ends a response, the write is stopped and waited for, and an error other than a broken pipe fails the call as one that may have run. A broken pipe means that the server had ended its side before the reset (the kernel tells the two apart), so that an answer which was ended properly stays whole, whatever the server does with the rest of the body. A response with a length or chunks was never taken for whole too early, and is not concerned.

--- a/src/net/http.cc
+++ b/src/net/http.cc
@@ -4,7 +4,6 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/error.hpp>
@@ -40,6 +39,16 @@
   }
 }
 
+// Returns whether a write failed because the connection did, before the peer ended its
+// side. A reset that comes after that end is a broken pipe for a write. The other errors
+// here are those of a write that was cut short by closing the connection.
+bool BrokeConnection(const Error& aSendError)
+{
+  return aSendError && aSendError != asio::error::broken_pipe &&
+         aSendError != asio::error::operation_aborted &&
+         aSendError != asio::error::bad_descriptor;
+}
+
 } // namespace
 
 void EnableDeadPeerDetection(asio::ip::tcp::socket& aSocket)
@@ -58,6 +67,7 @@
 
 Connection::Connection(const asio::any_io_executor& aExecutor)
   : mStream(aExecutor)
+  , mSendingEnds(aExecutor, Clock::time_point::max())
 {
 }
 
@@ -90,6 +100,7 @@
   if (error == asio::error::eof && aParser.got_some()) {
     aParser.put_eof(error);
     ThrowOnError(error, Stage::Sent);
+    co_await ConfirmEnd();
     co_return;
   }
   ThrowOnError(error, Stage::Sent);
@@ -97,6 +108,28 @@
   ParseBuffer(aParser);
 }
 
+Awaitable<void> Connection::StopSending()
+{
+  if (mSending) {
+    mReusable = false;
+    Close();
+    Error cancelled;
+    co_await mSendingEnds.async_wait(
+      asio::redirect_error(asio::use_awaitable, cancelled));
+  }
+}
+
+// The kernel reports the failure of a connection once. If a write is told of it, the read
+// after it returns an ordinary end of the stream.
+Awaitable<void> Connection::ConfirmEnd()
+{
+  co_await StopSending();
+  if (BrokeConnection(mSendError)) {
+    throw CallError(
+      Stage::Sent, false, "the response broke off: " + mSendError.message());
+  }
+}
+
 // Returns true once the buffer contains the whole head. Throws CallError if the bytes are
 // no response, or if the head can be understood in two ways, since it tells no length
 // then, or is too large.
@@ -203,6 +236,7 @@
                            std::chrono::milliseconds aStallTimeout)
 {
   mReusable = false;
+  mSendError = {};
   mLimits = { Clock::now() + aTimeout,
               aStallTimeout,
               aRequest.method() == http::verb::head };
@@ -224,20 +258,19 @@
   co_return co_await ReadFinalResponse(mLimits);
 }
 
-// The time limit is that of the read. A write that fails is not reported, because the
-// response may have arrived before; if it has not, the read fails as well.
+// The time limit is that of the read. A write that fails does not end the call, because
+// the response may have arrived before; if it has not, the read fails as well.
 template<typename Message>
 Awaitable<Response> Connection::SendWhileReading(const Message& aRequest,
                                                  std::chrono::milliseconds aTimeout)
 {
   BeginCall(aRequest, aTimeout, aTimeout);
-  auto sent = std::make_shared<asio::steady_timer>(mStream.get_executor(),
-                                                   Clock::time_point::max());
   mStream.expires_never();
   mSending = true;
-  http::async_write(mStream, aRequest, [this, sent](const Error&, std::size_t) {
+  http::async_write(mStream, aRequest, [this](const Error& aError, std::size_t) {
     mSending = false;
-    sent->cancel();
+    mSendError = aError;
+    mSendingEnds.cancel();
   });
   Response response;
   std::exception_ptr failure;
@@ -246,12 +279,7 @@
   } catch (...) {
     failure = std::current_exception();
   }
-  if (mSending) {
-    mReusable = false;
-    Close();
-    Error cancelled;
-    co_await sent->async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
-  }
+  co_await StopSending();
   if (failure) {
     std::rethrow_exception(failure);
   }
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
@@ -112,7 +113,9 @@
                            std::chrono::milliseconds aStallTimeout);
   // Sends a request whose body, aBody, stays where it is. The peer may respond before it
   // has read a long body. That response is returned, and the connection is closed without
-  // the rest of the body, so that no other bytes can take its place.
+  // the rest of the body, so that no other bytes can take its place. Throws CallError at
+  // Stage::Sent, also if the connection was reset before the end of a response without a
+  // length.
   Awaitable<Response> Call(const Request& aHead,
                            std::string_view aBody,
                            std::chrono::milliseconds aTimeout);
@@ -163,6 +166,11 @@
   void BeginCall(const Message& aRequest,
                  std::chrono::milliseconds aTimeout,
                  std::chrono::milliseconds aStallTimeout);
+  // Closes the connection if the request is not wholly sent, and waits for its write.
+  Awaitable<void> StopSending();
+  // Checks that the peer, and no failure of the connection, ended a response that has no
+  // length. Throws CallError.
+  Awaitable<void> ConfirmEnd();
   void ParseBuffer(Parser& aParser);
   Awaitable<Response> ReadResponse(ReadLimits aLimits);
   Awaitable<Response> ReadFinalResponse(ReadLimits aLimits);
@@ -173,7 +181,9 @@
   ReadBudget* mBudget = nullptr;
   std::size_t mResponsesRead = 0;
   bool mReusable = false;
-  bool mSending = false; // a request is not wholly sent yet
+  bool mSending = false;                  // a request is not wholly sent yet
+  boost::asio::steady_timer mSendingEnds; // never expires; its waits end with the sending
+  boost::system::error_code mSendError;   // of the last call that read while sending
 };
 
 // Makes one call on a new connection. Throws CallError.
--- a/tests/unit/net.cc
+++ b/tests/unit/net.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/this_coro.hpp>
 
 #include "canned.h"
+#include "early.h"
 #include "net/http.h"
 
 using namespace vanillaloft;
@@ -306,38 +307,6 @@
 
 namespace {
 
-constexpr std::size_t kUploadBytes = 32UL * 1024 * 1024; // more than the sockets hold
-
-// A server that responds to the head of a request and reads no body.
-struct EarlyServer
-{
-  boost::asio::ip::tcp::acceptor mAcceptor;
-  boost::asio::ip::tcp::socket mSocket;
-
-  explicit EarlyServer(boost::asio::io_context& aContext)
-    : mAcceptor(aContext, { boost::asio::ip::address_v4::loopback(), 0 })
-    , mSocket(aContext)
-  {
-  }
-  base::HostPort Address() const
-  {
-    return { "127.0.0.1", mAcceptor.local_endpoint().port() };
-  }
-  boost::asio::awaitable<void> Respond(std::string aResponse, test::ServerClose aClose)
-  {
-    using boost::asio::use_awaitable;
-    std::string head;
-    mSocket = co_await mAcceptor.async_accept(use_awaitable);
-    co_await boost::asio::async_read_until(
-      mSocket, boost::asio::dynamic_buffer(head), "\r\n\r\n", use_awaitable);
-    co_await boost::asio::async_write(
-      mSocket, boost::asio::buffer(aResponse), use_awaitable);
-    if (aClose == test::ServerClose::Reset) {
-      mSocket.close(); // resets, since bytes are unread
-    }
-  }
-};
-
 struct EarlyOutcome
 {
   unsigned mStatus = 0; // 0: the call failed
@@ -347,7 +316,7 @@
 // Sends a request with a long body to a server that does not read it.
 boost::asio::awaitable<EarlyOutcome> Upload(base::HostPort aTo)
 {
-  std::string body(kUploadBytes, 'x');
+  std::string body(test::kUploadBytes, 'x');
   net::Connection connection(co_await boost::asio::this_coro::executor);
   EarlyOutcome outcome;
   try {
@@ -369,11 +338,10 @@
 {
   const std::string busy = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
   const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
-  for (auto close : { test::ServerClose::Never, test::ServerClose::Reset }) {
+  for (auto end : { test::EarlyEnd::Never, test::EarlyEnd::Reset }) {
     for (const std::string& text : { busy, interim + busy }) {
       boost::asio::io_context context;
-      EarlyServer server(context);
-      boost::asio::co_spawn(context, server.Respond(text, close), boost::asio::detached);
+      test::EarlyServer server(context, { text, end });
       EarlyOutcome outcome = test::RunCoroutine(context, Upload(server.Address()));
       CHECK(outcome.mStatus == 503);
       CHECK_FALSE(outcome.mReusable);
@@ -384,8 +352,6 @@
 TEST_CASE("a long body that a server never reads fails at the call's time limit")
 {
   boost::asio::io_context context;
-  EarlyServer server(context);
-  boost::asio::co_spawn(
-    context, server.Respond("", test::ServerClose::Never), boost::asio::detached);
+  test::EarlyServer server(context, { "", test::EarlyEnd::Never });
   CHECK(test::RunCoroutine(context, Upload(server.Address())).mStatus == 0);
 }
