Net: a response with a control character in a chunk's extension fails

What callers saw: found by going through the framings, not reported. A chunked answer with a line feed or another control byte in a quoted extension was delivered as whole. Cause: the parser accepts any byte in a quoted string of an extension. Other readers end the line at the line feed, and find another body there. The listener refuses such requests; answers were not checked.

--- a/tests/unit/net_responses.cc
+++ b/tests/unit/net_responses.cc
@@ -274,6 +274,19 @@
   CHECK(outcome.mReusable);
 }
 
+// Guards against a line feed in a quoted string, which other readers take for the end of
+// the line: they find another body.
+TEST_CASE("a response with a control character in a chunk's extension fails")
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const char* chunks : { "5;a=\"\n\"\r\nwhole\r\n0\r\n\r\n",
+                              "5\r\nwhole\r\n0;a=\"\n\"\r\n\r\n",
+                              "5;a=\"\x01\"\r\nwhole\r\n0\r\n\r\n" }) {
+    CAPTURE(chunks);
+    CheckFails(CallServer({ head + chunks }, kShortBodyBytes));
+  }
+}
+
 TEST_CASE("a response with odd but legal fields and statuses is returned")
 {
   for (const char* status :
