Listener: requests are parsed by net::MessageParser too

Change: the listener uses the parser of net, and reads a message in one pass; its own check and its two-phase read are gone. No change of behaviour is meant.

--- a/src/entry/listener.cc
+++ b/src/entry/listener.cc
@@ -389,7 +389,7 @@
   } else if (IsTraceWithBody(parser.get())) {
     outcome.mFailure = Result::MethodNotAllowed;
   } else {
-    outcome.mRequest = parser.release();
+    outcome.mRequest = parser.ReleaseMessage();
   }
   co_return outcome;
 }
@@ -416,13 +416,12 @@
   co_return error;
 }
 
-// Reads and parses until aIsDone. Bytes that are in the buffer come first.
-Awaitable<Error> Listener::ReadUntil(Session& aSession,
-                                     Parser& aParser,
-                                     bool (Progress::*aIsDone)() const)
+// Reads a request whose head is in the buffer. Bytes that are in the buffer come first.
+Awaitable<Error> Listener::ReadMessage(Session& aSession, Parser& aParser)
 {
   beast::flat_buffer& buffer = aSession.mBuffer;
-  while (!(aParser.*aIsDone)()) {
+  aParser.eager(true);
+  while (!aParser.is_done()) {
     Error error;
     if (buffer.size() > 0) {
       buffer.consume(aParser.put(buffer.data(), error));
@@ -430,7 +429,7 @@
     if (error && error != http::error::need_more) {
       co_return error;
     }
-    if ((aParser.*aIsDone)()) {
+    if (aParser.is_done()) {
       break;
     }
     error = co_await FillBuffer(aSession, aParser.get().body().size());
@@ -444,28 +443,6 @@
   co_return Error();
 }
 
-// Reads a request whose head is in the buffer. Drops the trailers, which Beast would add
-// to the header: a caller could replace fields there that were checked before.
-Awaitable<Error> Listener::ReadMessage(Session& aSession, Parser& aParser)
-{
-  auto checkChunk = [](std::uint64_t, beast::string_view aExtensions, Error& aError) {
-    if (!net::IsValidChunkExtension(ToStringView(aExtensions))) {
-      aError = http::error::bad_chunk_extension;
-    }
-  };
-  aParser.on_chunk_header(checkChunk);
-  aParser.eager(false);
-  Error error = co_await ReadUntil(aSession, aParser, &Progress::is_header_done);
-  if (error) {
-    co_return error;
-  }
-  http::request_header<> header = aParser.get().base();
-  aParser.eager(true);
-  error = co_await ReadUntil(aSession, aParser, &Progress::is_done);
-  aParser.get().base() = std::move(header);
-  co_return error;
-}
-
 Awaitable<net::Response> Listener::HandleRequest(Session& aSession, net::Request aRequest)
 {
   Error error;
--- a/src/entry/listener.h
+++ b/src/entry/listener.h
@@ -7,11 +7,11 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
 
 #include "entry/core.h"
 #include "entry/format.h"
 #include "net/framing.h"
+#include "net/message_parser.h"
 
 namespace vanillaloft::entry {
 
@@ -61,8 +61,7 @@
   using Socket = boost::asio::ip::tcp::socket;
   using Acceptor = boost::asio::ip::tcp::acceptor;
   using Stream = boost::beast::tcp_stream;
-  using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
-  using Progress = boost::beast::http::basic_parser<true>;
+  using Parser = net::MessageParser<true>;
 
   struct Endpoint
   {
@@ -117,9 +116,6 @@
   Awaitable<boost::system::error_code> ReadHead(Session& aSession,
                                                 std::size_t aMaxBytes,
                                                 net::HeadScanner& aScanner);
-  Awaitable<boost::system::error_code> ReadUntil(Session& aSession,
-                                                 Parser& aParser,
-                                                 bool (Progress::*aIsDone)() const);
   Awaitable<boost::system::error_code> ReadMessage(Session& aSession, Parser& aParser);
   Awaitable<boost::system::error_code> WriteResponse(Session& aSession,
                                                      net::Response& aResponse);
