Entry: a peer's reply without a valid answer is not passed on

What callers saw: found by going through the places where answers are read. Between instances status 000 did reach the caller as an answer: a reply without content, or with a status from 0 to 199 or over 999, was a success for the instance that had forwarded the request. A content type with a line end was passed on with the line behind it, and a result number that is none threw from deep inside, or was cut to 16 bits and taken for "ok". Cause: Pipeline::ForwardTo took the numbers and text of a ForwardReply as they came. What HeadScanner checks for an HTTP answer was checked nowhere for this one. Change: the reply is checked where it is read: a result of the catalogue and, for "ok", a status from 200 to 999 and a content type without control characters. Any other reply counts as an answer that is lost: an order with a ticket ends as outcome-unknown, never as "not run", and is not sent elsewhere. The lost reply has its log line. Tests: unit-entry: "a peer's reply without a result or an answer does not tell how an order ended" failed before in 9 of 9 rows (8 successes, one exception), passes now, 10 of 10 runs; kept, passed before: "a peer's reply with an odd but legal answer or a refusal is passed on". unit-entry 76 and unit-net 29 cases pass.

--- a/src/entry/pipeline.cc
+++ b/src/entry/pipeline.cc
@@ -103,6 +103,19 @@
   return !aOrder || base::InfoOf(aError.Code()).mExecuted == base::Executed::No;
 }
 
+// Returns whether a peer's reply is one that an instance sends: a known result and, if
+// that is Ok, a response that can be passed on.
+bool IsValid(const peer::wire::ForwardReply& aReply)
+{
+  if (aReply.result() != static_cast<std::uint32_t>(Result::Ok)) {
+    return std::ranges::any_of(base::AllResults(), [&](const base::ResultInfo& aInfo) {
+      return static_cast<std::uint32_t>(aInfo.mCode) == aReply.result();
+    });
+  }
+  return aReply.status() >= net::kMinFinalStatus && aReply.status() <= net::kMaxStatus &&
+         !net::HasControl(aReply.content_type());
+}
+
 } // namespace
 
 const Pipeline::FilterRow Pipeline::kFilters[] = {
@@ -545,6 +558,14 @@
     throw RequestError(error.MayHaveArrived() ? Result::AnswerLost
                                               : Result::NotConnected);
   }
+  if (!IsValid(reply)) {
+    base::Log(spdlog::level::warn,
+              base::Event::ConnectionClosed,
+              "server={} request={} cause=the peer's reply is malformed",
+              aAddress,
+              aExchange.mRequestId);
+    throw RequestError(Result::AnswerLost);
+  }
   auto result = static_cast<Result>(reply.result());
   if (result != Result::Ok) {
     throw RequestError(result);
--- a/src/net/framing.cc
+++ b/src/net/framing.cc
@@ -107,7 +107,7 @@
     return;
   }
   aLine.remove_suffix(kLineEnd.size());
-  if (std::ranges::any_of(aLine, IsControl)) {
+  if (HasControl(aLine)) {
     mFault = FramingFault::Malformed;
   } else if (!mHasFirstLine) {
     ScanFirstLine(aLine);
@@ -167,9 +167,9 @@
   }
 }
 
-bool IsValidChunkExtension(std::string_view aExtension)
+bool HasControl(std::string_view aText)
 {
-  return std::ranges::none_of(aExtension, IsControl);
+  return std::ranges::any_of(aText, IsControl);
 }
 
 } // namespace vanillaloft::net
--- a/src/net/framing.h
+++ b/src/net/framing.h
@@ -58,8 +58,8 @@
   FramingFault mFault = FramingFault::None;
 };
 
-// True if the extensions of a chunk contain no control character but tabs. Beast accepts
-// line feeds in quoted strings, which other parsers take for the end of the line.
-bool IsValidChunkExtension(std::string_view aExtension);
+// True if a text contains a control character other than a tab. Parsers disagree on where
+// a line with one ends.
+bool HasControl(std::string_view aText);
 
 } // namespace vanillaloft::net
--- a/src/net/http.cc
+++ b/src/net/http.cc
@@ -26,7 +26,6 @@
 // A body up to this size fits into the socket's buffers, so it is sent at once.
 constexpr std::size_t kLongBodyBytes = 16UL * 1024;
 constexpr unsigned kMaxInterimResponses = 16; // before one final response
-constexpr unsigned kMinFinalStatus = 200;
 // A response that is still arriving at the call's time limit may complete within this
 // time, since a process that was delayed finds its bytes already in the socket buffer.
 constexpr std::chrono::milliseconds kCompletionGrace{ 250 };
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -29,6 +29,11 @@
 
 constexpr unsigned kHttp11 = 11;
 
+// The final statuses that a response may have, also those that HTTP does not define.
+// Lower ones are interim or none.
+constexpr unsigned kMinFinalStatus = 200;
+constexpr unsigned kMaxStatus = 999;
+
 // A response with any status of three digits, also one that Beast has no name for.
 inline Response ResponseWithStatus(unsigned aStatus)
 {
--- a/src/net/message_parser.h
+++ b/src/net/message_parser.h
@@ -48,7 +48,7 @@
                   std::string_view aExtensions,
                   boost::system::error_code& aError)
   {
-    if (!IsValidChunkExtension(aExtensions)) {
+    if (HasControl(aExtensions)) { // Beast accepts them in quoted strings
       aError = boost::beast::http::error::bad_chunk_extension;
     }
     if (aSize == 0) {
