Store: an answer that does not say whether a write took place is no "not written"

What callers saw: found by going through the places where answers are read. An operator whose change the store answered with a 200 and neither true nor false was told "another operator changed the configuration; nothing was written", though it may have been. Cause: HttpStore::CompareAndSwap took every body that does not begin with "true" for a refusal, and "trueish" for success. Test: unit-store: "an answer to CompareAndSwap that is neither true nor false throws StoreError" failed before in 7 of 7 rows, passes now.

--- a/src/store/http.cc
+++ b/src/store/http.cc
@@ -8,11 +8,21 @@
 namespace vanillaloft::store {
 
 namespace http = boost::beast::http;
+using nlohmann::json;
 
 namespace {
 
 constexpr const char* kVersionHeader = "X-Consul-Index";
 
+// Throws StoreError for any other status than 200.
+void RequireOk(const net::Response& aResponse)
+{
+  if (aResponse.result() != http::status::ok) {
+    throw StoreError(
+      fmt::format("the store returned HTTP status {}", aResponse.result_int()));
+  }
+}
+
 // Converts the response to a read. An absent key (404) is the value with version 0.
 // Throws StoreError for any other status but 200 and for a missing or zero version.
 Value ToValue(const net::Response& aResponse)
@@ -20,10 +30,7 @@
   if (aResponse.result() == http::status::not_found) {
     return {};
   }
-  if (aResponse.result() != http::status::ok) {
-    throw StoreError(
-      fmt::format("the store returned HTTP status {}", aResponse.result_int()));
-  }
+  RequireOk(aResponse);
   Value value;
   auto header = aResponse[kVersionHeader];
   auto [end, error] =
@@ -35,6 +42,18 @@
   return value;
 }
 
+// Converts the response to a write. Throws StoreError if it does not say whether the
+// value was written.
+bool ToSwapped(const net::Response& aResponse)
+{
+  RequireOk(aResponse);
+  auto answer = json::parse(aResponse.body(), nullptr, false);
+  if (!answer.is_boolean()) {
+    throw StoreError("the store does not say whether it wrote the value");
+  }
+  return answer.get<bool>();
+}
+
 } // namespace
 
 Awaitable<net::Response> HttpStore::Call(net::Request aRequest,
@@ -71,11 +90,7 @@
   net::Request request(http::verb::put, target, net::kHttp11);
   request.body() = std::move(aText);
   net::Response response = co_await Call(std::move(request), mTimeout);
-  if (response.result() != http::status::ok) {
-    throw StoreError(
-      fmt::format("the store returned HTTP status {}", response.result_int()));
-  }
-  co_return response.body().starts_with("true");
+  co_return ToSwapped(response);
 }
 
 Awaitable<std::vector<ListedInstance>> HttpStore::Instances()
@@ -84,12 +99,12 @@
   net::Response response = co_await Call(std::move(request), mTimeout);
   std::vector<ListedInstance> instances;
   try {
-    for (const auto& entry : nlohmann::json::parse(response.body())) {
+    for (const auto& entry : json::parse(response.body())) {
       instances.push_back({ entry.at("address").get<std::string>(),
                             entry.at("data_centre").get<std::string>(),
                             entry.value("leaving", false) });
     }
-  } catch (const nlohmann::json::exception& error) {
+  } catch (const json::exception& error) {
     throw StoreError(
       fmt::format("the list of instances cannot be read: {}", error.what()));
   }
--- a/tests/unit/store.cc
+++ b/tests/unit/store.cc
@@ -69,3 +69,27 @@
   CHECK_THROWS_AS(test::RunCoroutine(malformed.mContext, malformed.mStore.Instances()),
                   store::StoreError);
 }
+
+namespace {
+
+std::string Ok(const std::string& aBody, const std::string& aFields = "")
+{
+  return "HTTP/1.1 200 OK\r\n" + aFields +
+         "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+}
+
+} // namespace
+
+// Guards against "nothing was written" for a change that the store may have made.
+TEST_CASE("an answer to CompareAndSwap that is neither true nor false throws StoreError")
+{
+  for (const char* body : { "", "tru", "trueish", "null", "{}", "1", "\"false\"" }) {
+    CAPTURE(body);
+    Fixture broken(Ok(body));
+    CHECK_THROWS_AS(
+      test::RunCoroutine(broken.mContext, broken.mStore.CompareAndSwap("key", 7, "x")),
+      store::StoreError);
+  }
+  Fixture spaced(Ok("true\n"));
+  CHECK(test::RunCoroutine(spaced.mContext, spaced.mStore.CompareAndSwap("key", 7, "x")));
+}
