Store: an error answer or a body that is no list is not a list of instances

What callers saw: found by going through the places where answers are read. A 503 whose body was a list, or a 200 with an object or null, was taken for the list of instances, an empty one in the last two cases. Cause: HttpStore::Instances did not look at the status, and iterated over whatever JSON came. Test: unit-store: "an error status or a body that is no list is not a list of instances" failed before in 3 of 3 rows, passes now; an empty list is still one.

--- a/src/store/http.cc
+++ b/src/store/http.cc
@@ -97,9 +97,10 @@
 {
   net::Request request(http::verb::get, "/v1/instances", net::kHttp11);
   net::Response response = co_await Call(std::move(request), mTimeout);
+  RequireOk(response);
   std::vector<ListedInstance> instances;
   try {
-    for (const auto& entry : json::parse(response.body())) {
+    for (const auto& entry : json::parse(response.body()).get<json::array_t>()) {
       instances.push_back({ entry.at("address").get<std::string>(),
                             entry.at("data_centre").get<std::string>(),
                             entry.value("leaving", false) });
--- a/tests/unit/store.cc
+++ b/tests/unit/store.cc
@@ -93,3 +93,19 @@
   Fixture spaced(Ok("true\n"));
   CHECK(test::RunCoroutine(spaced.mContext, spaced.mStore.CompareAndSwap("key", 7, "x")));
 }
+
+// Guards against an empty or wrong list of instances.
+TEST_CASE("an error status or a body that is no list is not a list of instances")
+{
+  for (const std::string& text : { std::string("HTTP/1.1 503 Down\r\nContent-Length: "
+                                               "2\r\n\r\n[]"),
+                                   Ok("{}"),
+                                   Ok("null") }) {
+    CAPTURE(text);
+    Fixture broken(text);
+    CHECK_THROWS_AS(test::RunCoroutine(broken.mContext, broken.mStore.Instances()),
+                    store::StoreError);
+  }
+  Fixture empty(Ok("[]"));
+  CHECK(test::RunCoroutine(empty.mContext, empty.mStore.Instances()).empty());
+}
