Store: a version that is not wholly a number fails the read

What callers saw: found by going through the places where answers are read. A value with the version "42x" or "4 2" was read as one of version 42 or 4, and a change based on it could replace one that was never read. Cause: the number was read up to its first other character, and the rest was not looked at. Change: the whole field has to be a number. Test: unit-store: "a version that is not wholly a number throws StoreError" failed before in 2 of 4 rows, passes now.

--- a/src/store/http.cc
+++ b/src/store/http.cc
@@ -24,7 +24,8 @@
 }
 
 // Converts the response to a read. An absent key (404) is the value with version 0.
-// Throws StoreError for any other status but 200 and for a missing or zero version.
+// Throws StoreError for any other status but 200 and for a version that is missing, zero
+// or no number.
 Value ToValue(const net::Response& aResponse)
 {
   if (aResponse.result() == http::status::not_found) {
@@ -33,9 +34,9 @@
   RequireOk(aResponse);
   Value value;
   auto header = aResponse[kVersionHeader];
-  auto [end, error] =
-    std::from_chars(header.data(), header.data() + header.size(), value.mVersion);
-  if (error != std::errc() || value.mVersion == 0) {
+  const char* headerEnd = header.data() + header.size();
+  auto [end, error] = std::from_chars(header.data(), headerEnd, value.mVersion);
+  if (error != std::errc() || end != headerEnd || value.mVersion == 0) {
     throw StoreError("the store's response has no valid X-Consul-Index header");
   }
   value.mText = aResponse.body();
--- a/tests/unit/store.cc
+++ b/tests/unit/store.cc
@@ -109,3 +109,25 @@
   Fixture empty(Ok("[]"));
   CHECK(test::RunCoroutine(empty.mContext, empty.mStore.Instances()).empty());
 }
+
+TEST_CASE("a version that is not wholly a number throws StoreError")
+{
+  for (const char* version : { "42x", "4 2", "-1", "" }) {
+    CAPTURE(version);
+    Fixture broken(Ok("abc", std::string("X-Consul-Index: ") + version + "\r\n"));
+    CHECK_THROWS_AS(test::RunCoroutine(broken.mContext, broken.mStore.Read("key")),
+                    store::StoreError);
+  }
+}
+
+TEST_CASE("a malformed or broken response to a read throws StoreError")
+{
+  for (const char* text : { "HTTP/1.1 000 Trouble\r\nX-Consul-Index: 1\r\n\r\nabc",
+                            "HTTP/1.1 404 Not Found\r\nX Blank: v\r\n\r\n",
+                            "HTTP/1.1 404 Not Found\r\nContent-Length: 5\r\n\r\n" }) {
+    CAPTURE(text);
+    Fixture broken(text);
+    CHECK_THROWS_AS(test::RunCoroutine(broken.mContext, broken.mStore.Read("key")),
+                    store::StoreError);
+  }
+}
