Ctl: an instance whose answer is malformed has not answered

What callers saw: found by going through the places where answers are read. An operator's command that had written a change and waited until it was in force ended with "unexpected response" and exit code 1, which means that nothing changed, if one instance answered with half a document. A 503 or a document without a revision counted as an answer. Cause: Client::ReadStates looked neither at the status nor at what the body holds, and the exception of the parser passed through WriteConfig and WaitUntilInForce. A text in the store that is no configuration did the same while a command read back whether its write had taken place. Change: a state is a 200 with an object that has a revision and a data centre; any other answer is none.

--- a/src/ctl/client.cc
+++ b/src/ctl/client.cc
@@ -1,6 +1,7 @@
 #include "ctl/client.h"
 
 #include <iostream>
+#include <optional>
 #include <random>
 #include <set>
 
@@ -32,6 +33,16 @@
   return aJson.is_object() ? aJson.value("revision", base::Revision(0)) : 0;
 }
 
+// Returns the state in an instance's response; none if the response is no state.
+std::optional<Json> StateIn(const net::Response& aResponse)
+{
+  Json state = Json::parse(aResponse.body(), nullptr, false);
+  bool valid = aResponse.result() == http::status::ok && state.is_object() &&
+               state.value("revision", Json()).is_number_unsigned() &&
+               state.value("data_centre", Json()).is_string();
+  return valid ? std::optional<Json>(std::move(state)) : std::nullopt;
+}
+
 } // namespace
 
 std::string NewOperationId()
@@ -45,7 +56,10 @@
   store::Value value = co_await mStore.Read(store::kConfigKey);
   StoredConfig stored{ value.mVersion, Json::object(), value.mText };
   if (value.mVersion != 0) {
-    stored.mJson = Json::parse(value.mText);
+    stored.mJson = Json::parse(value.mText, nullptr, false);
+  }
+  if (!stored.mJson.is_object()) {
+    throw store::StoreError("the configuration in the store cannot be read");
   }
   co_return stored;
 }
@@ -69,8 +83,10 @@
       net::Request request(http::verb::get, "/state", net::kHttp11);
       auto response = co_await net::CallOnce(
         base::ParseHostPort("--instances", address), std::move(request), kStateTimeout);
-      state.mState = Json::parse(response.body());
-      state.mAnswered = true;
+      if (std::optional<Json> answer = StateIn(response)) {
+        state.mState = std::move(*answer);
+        state.mAnswered = true;
+      }
     } catch (const net::CallError&) {
       // mAnswered stays false; the commands show it.
     }
--- a/src/ctl/client.h
+++ b/src/ctl/client.h
@@ -65,10 +65,12 @@
   {
   }
 
+  // Throws store::StoreError, also if the text in the store is no configuration.
   Awaitable<StoredConfig> ReadConfig();
   // Returns the text of a former revision from the history. Throws CommandError if the
   // history does not contain it.
   Awaitable<std::string> ReadRevision(base::Revision aRevision);
+  // Asks all instances. One whose response breaks off or is no state has not answered.
   Awaitable<std::vector<InstanceState>> ReadStates();
 
   // Writes aNext by compare-and-swap with a revision above those of aBase and of all
