Stop: what an instance holds when a stop begins is answered or refused before its end

Cause: only requests that arrived during a stop had their deadlines limited to it. Those that were held already kept their own. Change: decide::PlannedStop says until when a stopping instance waits, and for what (the rest of a request, its start, its answer); each wait asks it (Core::DeadlineOf), and those that would sleep beyond it stand in entry::WaitRegistry, which Loops::Stop goes through. Requests that a peer forwarded count as in flight. Two cases of unit-entry set the stop through the new class; their checks are the same.

--- a/src/daemon/instance.cc
+++ b/src/daemon/instance.cc
@@ -26,6 +26,16 @@
   return secret;
 }
 
+void ChangeSignalMask(int aHow)
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  for (int signal : { SIGTERM, SIGINT, SIGHUP }) {
+    sigaddset(&signals, signal);
+  }
+  pthread_sigmask(aHow, &signals, nullptr);
+}
+
 std::uint64_t RandomStartId()
 {
   std::random_device device;
@@ -34,6 +44,11 @@
 
 } // namespace
 
+void DeferSignals()
+{
+  ChangeSignalMask(SIG_BLOCK);
+}
+
 void AddSeeds(decide::Members& aMembers, const std::string& aSeeds)
 {
   for (std::size_t from = 0; from < aSeeds.size();) {
@@ -114,6 +129,7 @@
     asio::co_spawn(mContext, mLoops.Stop(), onStopped);
   });
   AwaitReload(reloadSignals, aOnReload);
+  ChangeSignalMask(SIG_UNBLOCK);
   base::Log(spdlog::level::info,
             base::Event::Started,
             "address={} data_centre={}",
--- a/src/daemon/instance.h
+++ b/src/daemon/instance.h
@@ -15,6 +15,10 @@
 
 namespace vanillaloft::daemon {
 
+// Keeps the signals that stop or reload the process pending until Instance::Run handles
+// them. To be called first, because threads inherit it.
+void DeferSignals();
+
 // How requests reach backend servers.
 enum class DispatchMode : std::uint8_t
 {
--- a/src/daemon/loops.cc
+++ b/src/daemon/loops.cc
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr Duration kTickInterval = std::chrono::milliseconds(100);
+constexpr Duration kEndingTickInterval = std::chrono::milliseconds(20);
 constexpr Duration kProbeInterval = std::chrono::milliseconds(500);
 constexpr std::chrono::milliseconds kWatchTimeout{ 2000 };
 constexpr Duration kStoreRetryInterval =
@@ -379,6 +380,14 @@
   return mCore.Now() + std::min(acceptPeriod, mCore.mSettings.mStopTimeout);
 }
 
+// The last waits end little before the process, so the ticks are short by then.
+Awaitable<void> Loops::TickStop()
+{
+  bool ending = mCore.mStop.IsOver(decide::StopWait::Start, mCore.Now() + kTickInterval);
+  co_await mCore.Sleep(ending ? kEndingTickInterval : kTickInterval);
+  mCore.EndOverdueWaits();
+}
+
 Awaitable<void> Loops::Stop()
 {
   Log(spdlog::level::info, Event::Stopping, "");
@@ -386,11 +395,11 @@
   mLookUps.Rebuild();
   SendHeartbeats();
   Instant stopDeadline = mCore.Now() + mCore.mSettings.mStopTimeout;
-  mCore.mStopDeadline = stopDeadline;
+  mCore.mStop.Begin(stopDeadline);
   Instant acceptDeadline = AcceptDeadline();
   while (mCore.Now() < acceptDeadline ||
          (mCore.mLedger.HasUnexpired(mCore.Now()) && mCore.Now() < stopDeadline)) {
-    co_await mCore.Sleep(kTickInterval);
+    co_await TickStop();
   }
   mCore.mStopped = true;
   mListener.StopAccepting();
@@ -398,7 +407,7 @@
   mHeartbeatsInFlight.clear();
   SendHeartbeats();
   do {
-    co_await mCore.Sleep(kTickInterval);
+    co_await TickStop();
   } while ((mCore.mRequestsInFlight > 0 || mListener.HasUnanswered()) &&
            mCore.Now() < stopDeadline);
   mListener.CloseIdle();
--- a/src/daemon/loops.h
+++ b/src/daemon/loops.h
@@ -57,6 +57,8 @@
   Awaitable<void> Stop();
 
 private:
+  // Waits for a short time and ends what the stop no longer allows.
+  Awaitable<void> TickStop();
   struct LoopRow
   {
     const char* mName;
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -126,6 +126,7 @@
 
 int main(int aArgc, char** aArgv)
 {
+  daemon::DeferSignals();
   spdlog::set_default_logger(spdlog::stderr_logger_mt("vanillaloftd"));
   std::signal(SIGPIPE, SIG_IGN);
   ReturnLargeBlocks();
--- a/src/entry/backend.cc
+++ b/src/entry/backend.cc
@@ -46,8 +46,8 @@
 
 std::chrono::milliseconds BackendClient::TimeLeft(const Exchange& aExchange) const
 {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(aExchange.mDeadline -
-                                                               mCore.Now());
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+    mCore.DeadlineOf(aExchange) - mCore.Now());
 }
 
 void BackendClient::KeepIdle(const BackendTarget& aTarget, ConnectionPtr aConnection)
@@ -108,11 +108,16 @@
   ServerAnswer answer;
   std::optional<Failure> failure;
   connection->SetReadBudget(aExchange.HeldBy());
+  bool cutByStop = false;
+  WaitRegistry::Registration wait(mCore.mWaits, decide::StopWait::Answer, [&] {
+    cutByStop = true;
+    connection->Close();
+  });
   try {
     answer = co_await SendAndReadAnswer(aExchange, *connection, metadata);
   } catch (const net::CallError& error) {
-    failure = { error.TimedOut() ? Result::AnswerTimeout : Result::AnswerLost,
-                error.what() };
+    bool timedOut = error.TimedOut() || cutByStop;
+    failure = { timedOut ? Result::AnswerTimeout : Result::AnswerLost, error.what() };
   }
   connection->SetReadBudget(nullptr);
   if (aExchange.mCaller) {
--- a/src/entry/core.cc
+++ b/src/entry/core.cc
@@ -253,6 +253,15 @@
   return ConfirmedAge() > mSettings.mMaxConfirmationAge && !noneMissed;
 }
 
+// A call to a peer that is cancelled may have arrived there, and its request is told so.
+void Core::EndOverdueWaits()
+{
+  mWaits.EndOverdue(mStop, Now());
+  if (mStop.IsOver(decide::StopWait::Answer, Now())) {
+    mPeers.CancelCalls();
+  }
+}
+
 Awaitable<void> Core::Sleep(Duration aTime)
 {
   boost::asio::steady_timer timer(mContext, aTime);
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -28,11 +28,13 @@
 #include "decide/retry.h"
 #include "decide/share.h"
 #include "decide/steer.h"
+#include "decide/stop.h"
 #include "decide/ticket.h"
 #include "entry/exchange.h"
 #include "entry/idle.h"
 #include "entry/memory.h"
 #include "entry/signal.h"
+#include "entry/waits.h"
 #include "peer/peer.h"
 #include "store/calls.h"
 #include "store/replica.h"
@@ -206,6 +208,15 @@
   // Capacity of this instance's retry budget for a service.
   double RetryBudgetCap() const;
 
+  // Until when a request may start at a backend server.
+  Instant DeadlineOf(const Exchange& aExchange) const
+  {
+    return mStop.Limit(decide::StopWait::Start, aExchange.mDeadline);
+  }
+
+  // Ends the waits of requests that a planned stop no longer allows.
+  void EndOverdueWaits();
+
   // Waits on a timer of the I/O context, not on mClock.
   Awaitable<void> Sleep(Duration aTime);
   // Records whether the store responds to this instance and logs a change.
@@ -261,9 +272,8 @@
   decide::ReturnSchedules mReturns;
   bool mLeaving = false; // left out of look-up responses, still serving
   bool mStopped = false; // accepts no new requests
-  // End of a planned stop: requests without a response are cut off then. Empty before
-  // one.
-  std::optional<Instant> mStopDeadline;
+  decide::PlannedStop mStop;
+  WaitRegistry mWaits; // of requests, for the planned stop
   // Replicas of the sections of the store that this instance follows, read from the store
   // or from peers.
   std::array<store::Replica, store::kStoreSectionCount> mReplicas;
@@ -285,6 +295,24 @@
   Instant mFirstConfigAt{};
 };
 
+// Counts a request as in flight during its life, so that a planned stop can wait for its
+// end.
+class InFlightGuard
+{
+public:
+  explicit InFlightGuard(Core& aCore)
+    : mCore(aCore)
+  {
+    ++mCore.mRequestsInFlight;
+  }
+  InFlightGuard(const InFlightGuard&) = delete;
+  InFlightGuard& operator=(const InFlightGuard&) = delete;
+  ~InFlightGuard() { --mCore.mRequestsInFlight; }
+
+private:
+  Core& mCore;
+};
+
 // The groups of a routed request. Its caller's data centre is that of its address, or of
 // this instance if no block of the configuration contains the address.
 decide::RequestGroups GroupsOf(const Exchange& aExchange, const Core& aCore);
--- a/src/entry/direct.cc
+++ b/src/entry/direct.cc
@@ -34,11 +34,11 @@
 }
 
 // Returns the time from which a request may spill over.
-Instant SpillTime(const Exchange& aExchange)
+Instant SpillTime(const Exchange& aExchange, Instant aDeadline)
 {
   Duration wait = std::chrono::duration_cast<Duration>(LatencyTargetOf(aExchange) *
                                                        kCapacityWaitFraction);
-  return std::min(aExchange.mArrival + wait, aExchange.mDeadline);
+  return std::min(aExchange.mArrival + wait, aDeadline);
 }
 
 // Identifies a route's requests to one of its services.
@@ -138,14 +138,14 @@
   decide::PlacementRequest request;
   request.mQuery = QueryOf(aExchange, aAttempts);
   request.mTerms.mTarget = aExchange.mArrival - aExchange.mSinceFirst + target;
-  request.mTerms.mDeadline = aExchange.mDeadline;
+  request.mTerms.mDeadline = mCore.DeadlineOf(aExchange);
   request.mTerms.mWork = mCore.mAnswerTimes.Expect(request.mQuery.mRoute, target / 2);
   request.mTerms.mReturn =
     decide::ReturnOf(aExchange.mSinceFirst, aExchange.mCallerTimeout);
   request.mOrganisationPriority = PriorityOf(aExchange);
   request.mRoutePriority = aExchange.MatchedRoute().mPriority;
   request.mTreatment = mCore.mGroups.Of(GroupsOf(aExchange, mCore), mCore.Now());
-  request.mSpillAt = SpillTime(aExchange);
+  request.mSpillAt = SpillTime(aExchange, request.mTerms.mDeadline);
   return request;
 }
 
@@ -375,7 +375,7 @@
 {
   bool mayRepeat = DidNotRun(aCode) || IsIdempotent(aExchange);
   if (!mayRepeat || aExchange.CallerDisconnected() ||
-      mCore.Now() >= aExchange.mDeadline) {
+      mCore.Now() >= mCore.DeadlineOf(aExchange)) {
     return false;
   }
   if (WasNotSent(aCode)) {
--- a/src/entry/listener.cc
+++ b/src/entry/listener.cc
@@ -9,6 +9,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "decide/route.h"
 #include "entry/background.h"
 
 namespace vanillaloft::entry {
@@ -209,14 +210,19 @@
   }
 }
 
+bool Listener::HasPartialRequest(const Session& aSession)
+{
+  return aSession.mBuffer.size() > 0 ||
+         (aSession.mParser && aSession.mParser->got_some());
+}
+
 bool Listener::IsBusy(Session& aSession) const
 {
   Error error;
-  bool hasPartialRequest = aSession.mParser && aSession.mParser->got_some();
   bool isNew =
     aSession.mRequests == 0 && mCore.Now() - aSession.mAcceptedAt < kFirstRequestTime;
-  return aSession.mAnswering || hasPartialRequest || isNew ||
-         aSession.mBuffer.size() > 0 || aSession.mStream.socket().available(error) > 0;
+  return aSession.mAnswering || HasPartialRequest(aSession) || isNew ||
+         aSession.mStream.socket().available(error) > 0;
 }
 
 bool Listener::HasUnanswered()
@@ -310,7 +316,7 @@
 {
   while (aBytes > kMaxSpareBytes && !aSession.mHold.GrowMessage(aBytes)) {
     co_await aSession.mHold.Pause();
-    if (aSession.mHold.MustEnd()) {
+    if (aSession.mHold.MustEnd() || aSession.mCutByStop) {
       co_return asio::error::operation_aborted;
     }
     if (!aSession.mStream.socket().is_open()) {
@@ -367,6 +373,12 @@
   aSession.mReadEnd = timer.expiry();
   aSession.mStream.expires_never();
   aSession.mParser = &parser;
+  WaitRegistry::Registration wait(mCore.mWaits, decide::StopWait::Arrival, [&] {
+    if (HasPartialRequest(aSession)) {
+      aSession.mCutByStop = true;
+      aSession.mStream.cancel();
+    }
+  });
   net::HeadScanner head(net::MessageKind::Request);
   Error error = co_await ReadHead(aSession, headBytes, head);
   bool started = aSession.mBuffer.size() > 0;
@@ -380,6 +392,8 @@
   if (aSession.mHold.MustEnd()) {
     outcome.mFailure = Result::MemoryFull;
     outcome.mClosed = !started;
+  } else if (error && aSession.mCutByStop) {
+    outcome.mFailure = Result::NotReady;
   } else if (head.Fault() != net::FramingFault::None) {
     outcome.mFailure = FaultResult(head.Fault());
   } else if (error) {
@@ -518,6 +532,7 @@
     if (received.mFailure != Result::Ok) {
       decide::Outcome refusal;
       refusal.mResult = received.mFailure;
+      refusal.mRetryAfter = decide::RetryAfter(received.mFailure, aSession.mRequests);
       response = mFormat.ToCaller(std::move(refusal));
     } else {
       keepAlive = received.mRequest.keep_alive();
--- a/src/entry/listener.h
+++ b/src/entry/listener.h
@@ -93,6 +93,7 @@
       mReadEnd;                      // time limit of the request that is read
     const Parser* mParser = nullptr; // set while a request is read
     bool mAnswering = false;         // from the end of a request to that of its response
+    bool mCutByStop = false;         // a planned stop ends the request that is read
     unsigned mRequests = 0;          // read so far
     Hold mHold;
   };
@@ -121,6 +122,7 @@
                                                      net::Response& aResponse);
   Awaitable<net::Response> HandleRequest(Session& aSession, net::Request aRequest);
   static Awaitable<void> Linger(Stream& aStream);
+  static bool HasPartialRequest(const Session& aSession);
   bool IsBusy(Session& aSession) const;
 
   Core& mCore;
--- a/src/entry/pipeline.cc
+++ b/src/entry/pipeline.cc
@@ -15,8 +15,6 @@
 
 constexpr std::size_t kMaxForwards = 3; // instances tried in one delivery
 constexpr std::uint64_t kBytesPerKilobyte = 1000;
-// At the end of a planned stop, time for a last response to reach its caller.
-constexpr Duration kStopAnswerTime = std::chrono::milliseconds(200);
 // Time that a request may need, in latency targets of its route. A server that is cold or
 // busy takes longer than one target.
 constexpr int kStopLatencyTargets = 2;
@@ -24,23 +22,6 @@
 // What callers that tell no timeout are assumed to wait.
 constexpr Duration kLongestCallerTime = std::chrono::minutes(1);
 
-// Counts a request as in flight, so that a planned stop can wait for its end.
-class InFlightGuard
-{
-public:
-  explicit InFlightGuard(Core& aCore)
-    : mCore(aCore)
-  {
-    ++mCore.mRequestsInFlight;
-  }
-  InFlightGuard(const InFlightGuard&) = delete;
-  InFlightGuard& operator=(const InFlightGuard&) = delete;
-  ~InFlightGuard() { --mCore.mRequestsInFlight; }
-
-private:
-  Core& mCore;
-};
-
 // Returns the budget of the request's organisation; none if the request has no
 // organisation or the organisation has no limit.
 decide::BudgetId BudgetOf(const Exchange& aExchange)
@@ -136,7 +117,8 @@
     if (base::InfoOf(error.Code()).mExecuted == base::Executed::No) {
       RefundToken(aExchange);
     }
-    SetRefusal(aExchange, ResultForCaller(error.Code(), aExchange), outcome);
+    Result code = CutByStop(aExchange, error.Code()) ? Result::NotReady : error.Code();
+    SetRefusal(aExchange, ResultForCaller(code, aExchange), outcome);
   }
   RecordOutcome(aExchange, outcome);
   co_return outcome;
@@ -159,6 +141,15 @@
   return notRun ? aCode : Result::OutcomeUnknown;
 }
 
+// Returns whether only the planned stop ended the wait of a request for tokens or for its
+// start. Its own time may have sufficed, at another instance as well.
+bool Pipeline::CutByStop(const Exchange& aExchange, Result aCode) const
+{
+  bool waited = aCode == Result::RateExceeded || aCode == Result::DeadlineBeforeStart;
+  return waited && mCore.mStop.IsOver(decide::StopWait::Start, mCore.Now()) &&
+         mCore.Now() < aExchange.mDeadline;
+}
+
 // Returns the token of a request that did not run to its organisation's budget. Otherwise
 // callers that are refused for lack of capacity and retry would use up the limit without
 // a response.
@@ -266,7 +257,7 @@
   timeout = timeout > Duration::zero() ? timeout : profile.mDeadline;
   aExchange.mDeadline = aExchange.mArrival + std::min(timeout, aExchange.mCallerTimeout);
   EstimateFirstAttempt(aExchange);
-  LimitToStop(aExchange);
+  RefuseBeyondStop(aExchange);
   mCore.mRetryBudget.Earn(
     aExchange.ServiceName(), profile.mRetryPercent, mCore.RetryBudgetCap());
   co_return;
@@ -282,20 +273,15 @@
     decide::HashOf(route.mHost + route.mPath), aExchange.mCallerTimeout, mCore.Now());
 }
 
-// During a planned stop, refuses a request that is not expected to get its response in
-// the time left, and limits the deadline of the others, so that the server ends them
-// itself. A request that is cut off at the end of the stop would have an unknown outcome.
-void Pipeline::LimitToStop(Exchange& aExchange) const
+// During a planned stop, refuses a request that arrives and is not expected to get its
+// response in the time left. One that is cut off at the end of the stop would have an
+// unknown outcome.
+void Pipeline::RefuseBeyondStop(const Exchange& aExchange) const
 {
-  if (!mCore.mStopDeadline) {
-    return;
-  }
-  Instant end = *mCore.mStopDeadline - kStopAnswerTime;
   Duration expected = kStopLatencyTargets * aExchange.MatchedRoute().mLatencyTarget;
-  if (mCore.Now() + expected > end) {
+  if (mCore.mStop.IsOver(decide::StopWait::Start, mCore.Now() + expected)) {
     throw RequestError(Result::NotReady);
   }
-  aExchange.mDeadline = std::min(aExchange.mDeadline, end);
 }
 
 Awaitable<void> Pipeline::LimitFilter(Exchange& aExchange)
@@ -422,7 +408,7 @@
 Awaitable<Outcome> Pipeline::Deliver(Exchange& aExchange, bool aOrder)
 {
   mResolver.ResolveIfStale(aExchange);
-  if (mCore.Now() >= aExchange.mDeadline) {
+  if (mCore.Now() >= mCore.DeadlineOf(aExchange)) {
     throw RequestError(Result::DeadlineBeforeStart);
   }
   if (auto target = mCore.mSteer.DrawShift(aExchange.mService)) {
@@ -445,7 +431,7 @@
   bool mayWait = mCore.mSteer.UsableSlots(aExchange.mService, mCore.Now()) > 0;
   if (mayWait) {
     Duration queueTime = aExchange.mConfig->ProfileOf(aExchange.mService).mQueueTime;
-    Instant until = std::min(mCore.Now() + queueTime, aExchange.mDeadline);
+    Instant until = std::min(mCore.Now() + queueTime, mCore.DeadlineOf(aExchange));
     auto slot =
       co_await mAdmission.WaitForSlot(aExchange.mService, aExchange.mOrganisation, until);
     if (slot) {
@@ -542,8 +528,8 @@
   request.set_target(aExchange.mTarget);
   request.set_content_type(aExchange.mContentType);
   request.set_body(aExchange.mBody);
-  auto left = std::chrono::duration_cast<std::chrono::milliseconds>(aExchange.mDeadline -
-                                                                    mCore.Now());
+  auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+    mCore.DeadlineOf(aExchange) - mCore.Now());
   if (left.count() <= 0) {
     throw RequestError(Result::DeadlineBeforeStart);
   }
--- a/src/entry/pipeline.h
+++ b/src/entry/pipeline.h
@@ -81,7 +81,8 @@
   Awaitable<bool> DebitRegionBudgets(const Exchange& aExchange,
                                      const std::string& aAddress);
   void EstimateFirstAttempt(Exchange& aExchange);
-  void LimitToStop(Exchange& aExchange) const;
+  void RefuseBeyondStop(const Exchange& aExchange) const;
+  bool CutByStop(const Exchange& aExchange, Result aCode) const;
   void RefundToken(const Exchange& aExchange);
   void SetRefusal(const Exchange& aExchange, Result aCode, decide::Outcome& aOutcome);
   Duration RetryAfter(const Exchange& aExchange, Result aCode);
--- a/src/entry/relay.cc
+++ b/src/entry/relay.cc
@@ -193,6 +193,7 @@
 
 Awaitable<wire::ForwardReply> Relay::OnForward(wire::ForwardRequest aRequest)
 {
+  InFlightGuard inFlight(mCore);
   Exchange exchange;
   exchange.mRequestId = aRequest.request_id();
   exchange.mMethod = aRequest.method();
--- a/src/entry/tokens.cc
+++ b/src/entry/tokens.cc
@@ -306,11 +306,12 @@
   for (;;) {
     Duration wait = mCore.mShares.TimeUntil(aBudget, aAmount, mCore.Now());
     wait = std::clamp(wait, kMinTokenWait, kMaxTokenWait);
-    bool lastChance = mCore.Now() + wait > aUntil;
+    Instant until = mCore.mStop.Limit(decide::StopWait::Start, aUntil);
+    bool lastChance = mCore.Now() + wait > until;
     bool paused = mCore.Now() < want->mPausedUntil;
     if (!paused && (!want->mAsking || (lastChance && !asked))) {
       asked = true;
-      co_await Ask(aBudget, aAmount, aUntil);
+      co_await Ask(aBudget, aAmount, until);
     } else if (lastChance) {
       co_return std::nullopt;
     } else {
--- a/src/peer/peer.cc
+++ b/src/peer/peer.cc
@@ -62,10 +62,14 @@
   }
   void CancelAll()
   {
-    std::unique_lock lock(mMutex);
+    std::lock_guard lock(mMutex);
     for (grpc::ClientContext* call : mCalls) {
       call->TryCancel();
     }
+  }
+  void AwaitAll()
+  {
+    std::unique_lock lock(mMutex);
     mRemoved.wait(lock, [&] { return mCalls.empty(); });
   }
 
@@ -174,6 +178,12 @@
 }
 
 Client::~Client()
+{
+  mPending->CancelAll();
+  mPending->AwaitAll();
+}
+
+void Client::CancelCalls()
 {
   mPending->CancelAll();
 }
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -85,6 +85,9 @@
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
 
+  // Cancels the calls in flight, which then throw PeerError.
+  void CancelCalls();
+
   // All calls throw PeerError.
   Awaitable<wire::BeatReply> Beat(std::string aAddress,
                                   wire::BeatRequest aRequest,
--- a/tests/unit/entry.cc
+++ b/tests/unit/entry.cc
@@ -671,7 +671,7 @@
   }
   fixture.mCore.AcceptConfig(config);
   fixture.mCore.mLeaving = true;
-  fixture.mCore.mStopDeadline = fixture.mClock.Now() + 3s;
+  fixture.mCore.mStop.Begin(fixture.mClock.Now() + 3s);
   CHECK(fixture.ResultOf("GET", "/open", "") == Result::NoBackendServer);
   fixture.mClock.Advance(2s);
   CHECK(fixture.ResultOf("GET", "/open", "") == Result::NotReady);
@@ -685,7 +685,7 @@
   test::CannedServer server(fixture.mContext, kOkResponse);
   fixture.AddServer("i-1", "s", server.Address(), 4);
   fixture.mCore.mLeaving = true;
-  fixture.mCore.mStopDeadline = fixture.mClock.Now() + 600ms;
+  fixture.mCore.mStop.Begin(fixture.mClock.Now() + 600ms);
   Exchange exchange;
   exchange.mMethod = "GET";
   exchange.mTarget = "/open";
--- a/tests/unit/entry_forward.cc
+++ b/tests/unit/entry_forward.cc
@@ -2,6 +2,7 @@
 #include <doctest/doctest.h>
 
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
 
 #include "calling_instance.h"
 #include "entry/pipeline.h"
@@ -12,7 +13,10 @@
 
 namespace {
 
+namespace asio = boost::asio;
+
 constexpr const char* kPeerAddress = "127.0.0.1:28771";
+constexpr auto kSilence = 1500ms;
 constexpr int kMaxTries = 200; // until the channel to the peer is connected
 
 // A peer that replies to each forwarded request with mReply.
@@ -37,9 +41,14 @@
   Awaitable<peer::wire::ForwardReply> OnForward(peer::wire::ForwardRequest) override
   {
     ++mRequests;
+    if (mSilent) {
+      asio::steady_timer timer(co_await asio::this_coro::executor, kSilence);
+      co_await timer.async_wait(asio::use_awaitable);
+    }
     co_return mReply;
   }
 
+  bool mSilent = false; // replies after the request's time
   peer::wire::ForwardReply mReply;
   unsigned mRequests = 0;
 };
@@ -132,3 +141,21 @@
   auto full = static_cast<std::uint32_t>(Result::NoBackendServer);
   CHECK(instance.OrderWith(Reply(full, 0)).mResult == Result::NoBackendServer);
 }
+
+// Guards against a request that a planned stop cuts off (LOST) while a peer serves it.
+TEST_CASE("a request that a peer has not answered is ended before a stop does")
+{
+  ForwardingInstance instance;
+  instance.OrderWith(Reply(0, 200));
+  instance.mPeer.mSilent = true;
+  auto sentAt = instance.mClock.Now();
+  asio::steady_timer timer(instance.mContext, 100ms);
+  timer.async_wait([&](auto) {
+    instance.mCore.mStop.Begin(instance.mClock.Now());
+    instance.mCore.EndOverdueWaits();
+  });
+  CHECK(instance.Order().mResult == Result::OutcomeUnknown);
+  CHECK(instance.mClock.Now() - sentAt < kSilence);
+  instance.mContext.restart();
+  instance.mContext.run_for(kSilence); // gRPC waits for the call at the peer
+}
--- a/tools/process.sh
+++ b/tools/process.sh
@@ -222,6 +222,23 @@
 await 8 sh -c "curl -s -m 2 -H '$KEY' http://${ENTRY[e1]}/stock/x | grep -q answer"
 verdict woken-serves-again $?
 
+# A process that is told to stop in the first moments of its start stops as planned.
+ended=""
+for i in 1 2 3 4 5; do
+  "$BUILD/src/vanillaloftd" --data-centre east-1 --listen "127.0.0.1:${BASE}01$i" --peer-listen "127.0.0.1:${BASE}11$i" \
+    --admin-listen "127.0.0.1:${BASE}21$i" --store "$STORE" --stop-timeout-ms 0 >>"$LOGS/early$i.log" 2>&1 &
+  early=$!
+  PIDS+=($early)
+  for _ in $(seq 5000); do # until main has begun: it ignores SIGPIPE
+    grep -q 'SigIgn:.*1[0-9a-f][0-9a-f][0-9a-f]$' "/proc/$early/status" && break
+  done
+  kill -HUP $early
+  kill -TERM $early
+  wait $early
+  ended+="$? "
+done
+expect stop-while-starting "0 0 0 0 0 " "$ended"
+
 # Planned stops of one instance after the other under load: no request is cut off, no order runs twice.
 wait_ready e1 e2 e3 w1
 "$BUILD/tests/load" --entries "$ENTRIES" --key demo-key-of-grocer --service stock --path /stock/y \
