Follower: a watch that the store lost no longer keeps an instance blind

Cause: a watch that the silent store does not hear looks like one without changes until its end 5 s later, and its answer was awaited 1 s more; after a lost watch the next one was as long as ever; and one event ends the watches of all instances together, so that no peer knew more. Change: a long watch counts as lost 0.25 s after its end (was 1 s); a store that did not answer is asked by short watches until it does; any answer after a call without one casts doubt on all watches sent before, here and, told by a heartbeat at once, at the peers (decide::StoreReturn); a peer that has had a newer change for 0.15 s does the same; watches that one event ended end one after the other. Full watches last 5.4 s instead of 5. Event 2110 says which watch was given up and why.

--- a/src/base/event.h
+++ b/src/base/event.h
@@ -33,6 +33,7 @@
   WatcherChosen = 2107,
   WatcherRejected = 2108,
   StoreCalls = 2109,
+  WatchAbandoned = 2110,
   ShareHeld = 3001,
   ShareLapsed = 3002,
   ShareReleased = 3003,
--- a/src/daemon/follow.cc
+++ b/src/daemon/follow.cc
@@ -10,12 +10,14 @@
 
 namespace {
 
-// A hanging watch cannot be told from an idle one, so each watch ends after this time and
-// is sent again.
-constexpr std::chrono::milliseconds kOwnWatchTime{ 5000 };
-// For a watch that is to show at once how recent the copy is. It waits a little, because
-// changes often come close together.
-constexpr std::chrono::milliseconds kQuickWatchTime{ 50 };
+// The answer to a watch that waits arrives within this time of its end. One that is
+// later counts as lost.
+constexpr std::chrono::milliseconds kWatchAnswerTime{ 250 };
+// A watch that is to show at once how recent the copy is, or whether the store answers.
+// It waits a little, because changes often come close together. A slow store has more
+// time for the answer.
+constexpr store::WatchTime kQuickWatchTime{ std::chrono::milliseconds(50),
+                                            std::chrono::milliseconds(600) };
 // Time between the starts of two calls, so that changes close together arrive in one
 // batch.
 constexpr Duration kBatchInterval = std::chrono::milliseconds(400);
@@ -40,19 +42,6 @@
                                                         : decide::kOperatorDataLimits;
 }
 
-std::chrono::milliseconds WaitOf(decide::FollowStep aStep,
-                                 const decide::CopyLimits& aLimits)
-{
-  switch (aStep) {
-    case decide::FollowStep::WatchForSelf:
-      return kOwnWatchTime;
-    case decide::FollowStep::WatchForOthers:
-      return std::chrono::floor<std::chrono::milliseconds>(aLimits.mWatchTime);
-    default:
-      return kQuickWatchTime;
-  }
-}
-
 // True if one instance of a data centre with these others watches for all.
 bool IsEnoughToShare(const std::vector<decide::WatcherCandidate>& aMates)
 {
@@ -71,6 +60,10 @@
   mCore.mOnItemsChanged = [this](const std::vector<store::Item>& aItems) {
     ApplyItems(aItems);
   };
+  mCore.mOnStoreReturned = [this] { AbandonLostWatches(); };
+  mCore.mOnPeerAhead = [this](store::StoreSection aSection, Instant aSince) {
+    AbandonLateWatch(aSection, aSince);
+  };
   entry::SpawnLoop(mCore.mContext, "follow-operators", [this] {
     return FollowPrefix(store::StoreSection::OperatorData, mDecoder.OperatorPrefix());
   });
@@ -84,9 +77,8 @@
 Awaitable<void> Follower::FollowPrefix(store::StoreSection aSection, std::string aPrefix)
 {
   store::Replica& replica = mCore.ReplicaOf(aSection);
-  PrefixState state{
-    aSection, replica, std::move(aPrefix), decide::FollowPlan(LimitsOf(aSection))
-  };
+  PrefixState& state = mStates[static_cast<std::size_t>(aSection)].emplace(PrefixState{
+    aSection, replica, std::move(aPrefix), decide::FollowPlan(LimitsOf(aSection)) });
   for (;;) {
     Duration delay{};
     decide::FollowStep step = NextStep(state);
@@ -95,7 +87,7 @@
     if (step == decide::FollowStep::AskWatcher) {
       delay = co_await CallWatcher(state, watcher);
     } else {
-      delay = co_await CallStore(state, WaitOf(step, state.mPlan.Limits()));
+      delay = co_await CallStore(state, TimeOf(step, state));
     }
     bool storeAnsweredInstead =
       step == decide::FollowStep::AskStore && hadCopy && state.mFailures == 0;
@@ -126,26 +118,88 @@
     shared, watcher == mCore.Self().mAddress, mCore.ReplicaAge(aState.mSection), now);
 }
 
+store::WatchTime Follower::TimeOf(decide::FollowStep aStep,
+                                  const PrefixState& aState) const
+{
+  using std::chrono::milliseconds;
+  const decide::Members& members = mCore.mMembers;
+  Instant now = mCore.Now();
+  Duration wait{};
+  switch (aStep) {
+    case decide::FollowStep::WatchForSelf:
+      wait =
+        aState.mPlan.OwnWatchTime(members.AliveBefore(now), members.AliveCount(now) + 1);
+      break;
+    case decide::FollowStep::WatchForOthers:
+      wait = aState.mPlan.Limits().mWatchTime;
+      break;
+    default:
+      return kQuickWatchTime;
+  }
+  return { std::chrono::floor<milliseconds>(wait), kWatchAnswerTime };
+}
+
+void Follower::AbandonLostWatches()
+{
+  for (std::optional<PrefixState>& state : mStates) {
+    bool inFlight = state && state->mCall && !state->mCall->mIsListing;
+    if (inFlight && mCore.mStoreReturn.MayHaveLost(state->mCall->mRequestedAt)) {
+      AbandonWatch(*state, "the store was silent");
+    }
+  }
+}
+
+// A quick watch ends by itself.
+void Follower::AbandonLateWatch(store::StoreSection aSection, Instant aSince)
+{
+  std::optional<PrefixState>& state = mStates[static_cast<std::size_t>(aSection)];
+  bool waits = state && state->mCall && !state->mCall->mIsListing &&
+               state->mCall->mTime.mWait > kQuickWatchTime.mWait;
+  if (waits && mCore.Now() - std::max(aSince, state->mCall->mRequestedAt) >=
+                 decide::kMaxWatchLag) {
+    AbandonWatch(*state, "a peer has newer changes");
+  }
+}
+
+void Follower::AbandonWatch(PrefixState& aState, const char* aCause)
+{
+  aState.mAbandonedBecause = aCause;
+  mFeed.AbandonWatch(aState.mPrefix);
+}
+
 // Changes close together arrive in one batch, because calls start kBatchInterval apart.
-Awaitable<Duration> Follower::CallStore(PrefixState& aState,
-                                        std::chrono::milliseconds aWait)
+Awaitable<Duration> Follower::CallStore(PrefixState& aState, store::WatchTime aTime)
 {
   bool isListing = !aState.mReplica.HasListing() || aState.mHistoryCompacted;
-  FeedCall call{ isListing, aWait, mCore.Now(), aState.mReplica.AsOf() };
+  FeedCall call{ isListing, aTime, mCore.Now(), aState.mReplica.AsOf() };
+  aState.mCall = call;
+  aState.mAbandonedBecause = nullptr;
   try {
     std::size_t items = co_await CallFeed(aState, call);
     RecordSuccess(aState, call, items);
-    aState.mPlan.StoreAnswered();
+    bool waited = !isListing && aTime.mWait > kQuickWatchTime.mWait;
+    aState.mPlan.StoreAnswered(waited && items == 0);
     mCore.NotifyReplicaNews(aState.mSection);
     ConfirmConfigFromReplica();
   } catch (const store::HistoryCompacted& error) {
-    mCore.SetStoreAvailable(true);
+    aState.mCall.reset();
+    mCore.SetStoreAvailable();
     RecordFailure(aState, call, error.what());
     aState.mHistoryCompacted = true;
     co_return Duration::zero();
   } catch (const std::exception& error) {
+    aState.mCall.reset();
+    if (aState.mAbandonedBecause) {
+      Log(spdlog::level::info,
+          Event::WatchAbandoned,
+          "{} cause={}",
+          Describe(aState, call),
+          aState.mAbandonedBecause);
+      aState.mPlan.WatchAbandoned();
+      co_return Duration::zero();
+    }
     RecordFailure(aState, call, error.what());
-    mCore.mStorePath.RecordFailure();
+    mCore.RecordOwnStoreFailure(call.mRequestedAt);
     aState.mPlan.StoreFailed(mCore.Now());
     co_return kRetryInterval;
   }
@@ -194,13 +248,15 @@
   std::vector<store::Item> changed;
   if (aCall.mIsListing) {
     items = co_await mFeed.List(aState.mPrefix);
-    mCore.SetStoreAvailable(true);
+    aState.mCall.reset();
+    mCore.SetStoreAvailable();
     changed = replica.ApplyListing(items, aCall.mRequestedAt);
     aState.mHistoryCompacted = false;
   } else {
     items = co_await mFeed.WatchChanges(
-      aState.mPrefix, replica.Position().mCompleteRevision, aCall.mWait);
-    mCore.SetStoreAvailable(true);
+      aState.mPrefix, replica.Position().mCompleteRevision, aCall.mTime);
+    aState.mCall.reset();
+    mCore.SetStoreAvailable();
     changed = replica.ApplyChanges(items, aCall.mRequestedAt);
   }
   ApplyItems(changed);
@@ -419,7 +475,7 @@
   Instant requestedAt = mCore.Now();
   try {
     store::Value value = co_await mStore.Read(mDecoder.ConfigKey());
-    mCore.SetStoreAvailable(true);
+    mCore.SetStoreAvailable();
     if (value.mVersion == 0) {
       co_return;
     }
@@ -428,7 +484,7 @@
     }
   } catch (const store::StoreError& error) {
     spdlog::debug("failed to confirm the configuration: {}", error.what());
-    mCore.SetStoreAvailable(false);
+    mCore.SetStoreUnavailable(requestedAt);
   }
 }
 
--- a/src/daemon/follow.h
+++ b/src/daemon/follow.h
@@ -3,6 +3,7 @@
 // with several instances one watches the store and the others watch that one.
 #pragma once
 
+#include <array>
 #include <optional>
 #include <random>
 #include <string>
@@ -75,6 +76,14 @@
   void Start();
 
 private:
+  // A call to the change feed.
+  struct FeedCall
+  {
+    bool mIsListing; // false: a watch for changes
+    store::WatchTime mTime;
+    Instant mRequestedAt;
+    std::optional<Instant> mReplicaAsOf; // AsOf() of the replica at mRequestedAt
+  };
   // State of following one key prefix.
   struct PrefixState
   {
@@ -82,24 +91,24 @@
     store::Replica& mReplica;
     std::string mPrefix;
     decide::FollowPlan mPlan;
-    bool mHistoryCompacted = false; // a new listing is required
-    unsigned mFailures = 0;         // consecutive failed calls
-    Instant mFailureLoggedAt{};     // time of the last failure line in the log
+    std::optional<FeedCall> mCall = {};      // in flight
+    const char* mAbandonedBecause = nullptr; // set if mCall was given up
+    bool mHistoryCompacted = false;          // a new listing is required
+    unsigned mFailures = 0;                  // consecutive failed calls
+    Instant mFailureLoggedAt{};              // time of the last failure line in the log
   };
-  // A call to the change feed.
-  struct FeedCall
-  {
-    bool mIsListing; // false: a watch for changes
-    std::chrono::milliseconds mWait{};
-    Instant mRequestedAt;
-    std::optional<Instant> mReplicaAsOf; // AsOf() of the replica at mRequestedAt
-  };
-
   Awaitable<void> FollowPrefix(store::StoreSection aSection, std::string aPrefix);
   // Chooses the next step for a prefix and the watcher of the data centre.
   decide::FollowStep NextStep(PrefixState& aState);
+  // Time of a watch at the store.
+  store::WatchTime TimeOf(decide::FollowStep aStep, const PrefixState& aState) const;
+  // Gives up the watches that were in flight when the store may have lost calls.
+  void AbandonLostWatches();
+  // Gives up the watch of a section that a peer has had newer changes of since aSince.
+  void AbandonLateWatch(store::StoreSection aSection, Instant aSince);
+  void AbandonWatch(PrefixState& aState, const char* aCause);
   // Each makes one call, logs its result and returns the time until the next step.
-  Awaitable<Duration> CallStore(PrefixState& aState, std::chrono::milliseconds aWait);
+  Awaitable<Duration> CallStore(PrefixState& aState, store::WatchTime aTime);
   Awaitable<Duration> CallWatcher(PrefixState& aState, std::string aWatcher);
   void RejectWatcher(const std::string& aWatcher, const char* aCause);
   // True if one instance of the data centre watches for all.
@@ -128,6 +137,7 @@
   store::Store& mStore;
   store::ChangeFeed& mFeed;
   const ItemDecoder& mDecoder;
+  std::array<std::optional<PrefixState>, store::kStoreSectionCount> mStates;
   decide::WatcherChoice mWatcher;
   std::string mWatcherAddress;      // last choice
   decide::ConfigPtr mReplicaConfig; // in the replica; null if it cannot be decoded
--- a/src/daemon/loops.cc
+++ b/src/daemon/loops.cc
@@ -47,6 +47,7 @@
 
 void Loops::Start(ConfigSource aConfigSource)
 {
+  mCore.mTellPeers = [this] { TellPeers(); };
   for (const LoopRow& row : kLoops) {
     if (!row.mOwnStoreOnly || aConfigSource == ConfigSource::OwnStore) {
       SpawnLoop(mCore.mContext, row.mName, [this, &row] { return (this->*row.mLoop)(); });
@@ -97,6 +98,13 @@
   }
 }
 
+// Those in flight carry an older status.
+void Loops::TellPeers()
+{
+  mHeartbeatsInFlight.clear();
+  SendHeartbeats();
+}
+
 Awaitable<void> Loops::SendHeartbeat(std::string aAddress)
 {
   try {
@@ -198,17 +206,18 @@
       continue;
     }
     bool failed = false;
+    Instant sentAt = mCore.Now();
     try {
       store::Value value =
         co_await mStore.Watch(store::kConfigKey, mConfigVersion, kWatchTimeout);
-      mCore.SetStoreAvailable(true);
+      mCore.SetStoreAvailable();
       mConfigVersion = value.mVersion;
       co_await ApplyStoredConfig(std::move(value));
     } catch (const store::StoreError&) {
       failed = true;
     }
     if (failed) {
-      mCore.SetStoreAvailable(false);
+      mCore.SetStoreUnavailable(sentAt);
       co_await mCore.Sleep(kStoreRetryInterval);
     } else if (mConfigVersion == 0) {
       co_await mCore.Sleep(kStoreRetryInterval); // a watch of an absent key does not wait
@@ -340,11 +349,12 @@
 {
   store::ListedInstance self{ mCore.Self().mAddress, mCore.mSettings.mDataCentre, false };
   for (;;) {
+    Instant sentAt = mCore.Now();
     try {
       co_await mStore.Announce(self);
-      mCore.mStorePath.RecordAnswer(mCore.Now());
+      mCore.RecordOwnStoreAnswer();
     } catch (const store::StoreError& error) {
-      mCore.mStorePath.RecordFailure();
+      mCore.RecordOwnStoreFailure(sentAt);
       spdlog::debug("failed to announce this instance: {}", error.what());
     }
     co_await mCore.Sleep(kAnnounceInterval);
@@ -404,8 +414,7 @@
   mCore.mStopped = true;
   mListener.StopAccepting();
   Spawn(mCore.mContext, "release-shares", ReleaseShares());
-  mHeartbeatsInFlight.clear();
-  SendHeartbeats();
+  TellPeers();
   do {
     co_await TickStop();
   } while ((mCore.mRequestsInFlight > 0 || mListener.HasUnanswered()) &&
--- a/src/daemon/loops.h
+++ b/src/daemon/loops.h
@@ -71,6 +71,7 @@
   Awaitable<void> HeartbeatLoop();
   Awaitable<void> SendHeartbeat(std::string aAddress);
   void SendHeartbeats();
+  void TellPeers();
   Awaitable<void> ProbeLoop();
   Awaitable<void> ProbeServer(std::string aServer, base::HostPort aAddress);
   Awaitable<void> WatchConfigLoop();
--- a/src/decide/member.cc
+++ b/src/decide/member.cc
@@ -121,6 +121,14 @@
   return static_cast<std::size_t>(count);
 }
 
+std::size_t Members::AliveBefore(Instant aNow) const
+{
+  auto count = std::ranges::count_if(mMembers, [&](const auto& aEntry) {
+    return aEntry.first < mSelfAddress && aNow - aEntry.second.mReceivedAt < mTimeout;
+  });
+  return static_cast<std::size_t>(count);
+}
+
 std::vector<const Member*> Members::AliveMembers(Instant aNow) const
 {
   std::vector<const Member*> alive;
--- a/src/decide/member.h
+++ b/src/decide/member.h
@@ -91,6 +91,8 @@
   bool HasShareHolder(Instant aNow) const;
   // Number of alive members other than this one.
   std::size_t AliveCount(Instant aNow) const;
+  // Number of alive members whose address comes before that of this one.
+  std::size_t AliveBefore(Instant aNow) const;
   // Alive members other than this one, in order of address.
   std::vector<const Member*> AliveMembers(Instant aNow) const;
   // Addresses that get heartbeats: in a small fleet all, otherwise all of the own data
--- a/src/decide/watcher.cc
+++ b/src/decide/watcher.cc
@@ -29,6 +29,34 @@
   return silent && mFailures >= kStorePathFailures;
 }
 
+bool StoreReturn::RecordAnswer(Instant aNow)
+{
+  if (!std::exchange(mFailed, false)) {
+    return false;
+  }
+  if (!IsKnown(aNow)) {
+    mOwn = aNow;
+  }
+  mLatest = aNow;
+  return true;
+}
+
+bool StoreReturn::RecordTold(Instant aAt)
+{
+  if (IsKnown(aAt)) {
+    return false;
+  }
+  mLatest = aAt;
+  mFailed = false;
+  return true;
+}
+
+std::optional<Duration> StoreReturn::AgeToTell(Instant aNow) const
+{
+  bool tells = mOwn && aNow - *mOwn < kTellReturnTime;
+  return tells ? std::optional(aNow - *mOwn) : std::nullopt;
+}
+
 void WatcherChoice::Reject(const std::string& aAddress, Instant aNow)
 {
   mRejectedAt[aAddress] = aNow;
@@ -92,10 +120,10 @@
 {
   bool wasWatching = std::exchange(mWatching, aShared && aSelfWatches);
   if (!aShared) {
-    return FollowStep::WatchForSelf;
+    return mDoubtful ? FollowStep::ProbeStore : FollowStep::WatchForSelf;
   }
   if (aSelfWatches) {
-    bool recent = wasWatching && !IsTooOld(aAge);
+    bool recent = wasWatching && !mDoubtful && !IsTooOld(aAge);
     return recent ? FollowStep::WatchForOthers : FollowStep::AskStore;
   }
   bool mayAsk = mAskInterval == Duration::zero() || aNow - mFailedAt >= mAskInterval;
@@ -111,8 +139,23 @@
   return std::clamp(mLimits.mMaxAge - *aAge, kMinWatcherTimeout, aMost);
 }
 
+Duration FollowPlan::OwnWatchTime(std::size_t aRank, std::size_t aCount) const
+{
+  auto place = static_cast<Duration::rep>(aRank + 1);
+  return mInStep ? kWatchSpreadTime * place / static_cast<Duration::rep>(aCount)
+                 : kOwnWatchTime;
+}
+
+void FollowPlan::StoreAnswered(bool aEndedByTime)
+{
+  mAskInterval = Duration::zero();
+  mDoubtful = false;
+  mInStep = !aEndedByTime;
+}
+
 void FollowPlan::StoreFailed(Instant aNow)
 {
+  mDoubtful = true;
   mFailedAt = aNow;
   mAskInterval = std::clamp(2 * mAskInterval, kFirstAskInterval, kMaxAskInterval);
 }
--- a/src/decide/watcher.h
+++ b/src/decide/watcher.h
@@ -34,6 +34,18 @@
 constexpr Duration kFirstAskInterval = std::chrono::seconds(1);
 constexpr Duration kMaxAskInterval = std::chrono::seconds(4);
 
+// A watch by an instance that watches for itself ends after this time.
+constexpr Duration kOwnWatchTime = std::chrono::milliseconds(5400);
+// Watches that began together end at equal distances within this time.
+constexpr Duration kWatchSpreadTime = std::chrono::milliseconds(4800);
+// An instance that has lacked a change which a peer has for this long while its watch was
+// in flight gives the watch up.
+constexpr Duration kMaxWatchLag = std::chrono::milliseconds(150);
+// Instances notice the return of the store within this time of each other.
+constexpr Duration kSameReturnTime = std::chrono::seconds(1);
+// For how long an instance tells its peers that it noticed the return.
+constexpr Duration kTellReturnTime = std::chrono::seconds(3);
+
 // Whether the store answers one instance's own calls.
 class StorePath
 {
@@ -50,6 +62,31 @@
   unsigned mFailures = 0; // since the last answer
 };
 
+// When the store answered again after a call without an answer, as this instance saw it
+// or a peer told it. A watch that was sent before may have been lost with that call, and
+// nothing else shows it before its end.
+class StoreReturn
+{
+public:
+  // Records that a call of this instance that was sent at aSentAt got no answer.
+  void RecordFailure(Instant aSentAt) { mFailed = mFailed || !MayHaveLost(aSentAt); }
+  // Records an answer. Returns true if the store returned with it.
+  bool RecordAnswer(Instant aNow);
+  // Records that a peer saw the store return at aAt. Returns true if it is not known yet.
+  bool RecordTold(Instant aAt);
+  // True if a watch that is in flight since aSentAt may have been lost.
+  bool MayHaveLost(Instant aSentAt) const { return mLatest && aSentAt < *mLatest; }
+  // Age of the return to tell peers of, if any.
+  std::optional<Duration> AgeToTell(Instant aNow) const;
+
+private:
+  bool IsKnown(Instant aAt) const { return mLatest && aAt < *mLatest + kSameReturnTime; }
+
+  bool mFailed = false; // a call that was sent after mLatest
+  std::optional<Instant> mLatest;
+  std::optional<Instant> mOwn; // to tell peers of
+};
+
 // Another instance of the data centre that is alive and stays.
 struct WatcherCandidate
 {
@@ -107,6 +144,7 @@
   WatchForSelf,   // nobody shares: a long watch
   WatchForOthers, // short watches, whose ends tell the others how recent the copy is
   AskStore,       // a watch that hardly waits
+  ProbeStore,     // the same, because the store may not answer
   AskWatcher      // a watch at the watcher instead of the store
 };
 
@@ -130,14 +168,24 @@
   {
     return !aAge || *aAge >= mLimits.mMaxAge;
   }
-  void StoreAnswered() { mAskInterval = Duration::zero(); }
+  // aEndedByTime: the answer ended a watch without changes, after its whole time.
+  void StoreAnswered(bool aEndedByTime);
   void StoreFailed(Instant aNow);
+  // A watch was given up, because the store may have lost it.
+  void WatchAbandoned() { mDoubtful = true; }
+
+  // Time of a watch by the instance at aRank, from 0, of aCount that may watch. Changes
+  // and outages end the watches of all at once. The next ones end one after the other, so
+  // that a silent store is noticed soon by one, which tells the others.
+  Duration OwnWatchTime(std::size_t aRank, std::size_t aCount) const;
 
   const CopyLimits& Limits() const { return mLimits; }
 
 private:
   CopyLimits mLimits;
   bool mWatching = false; // the last step was a watch for others
+  bool mDoubtful = false; // the last call to the store failed or was given up
+  bool mInStep = true;    // watches end together with those of other instances
   Duration mAskInterval{};
   Instant mFailedAt{};
 };
--- a/src/entry/core.cc
+++ b/src/entry/core.cc
@@ -268,14 +268,49 @@
   co_await timer.async_wait(boost::asio::use_awaitable);
 }
 
-void Core::SetStoreAvailable(bool aAvailable)
+void Core::RecordOwnStoreAnswer()
 {
-  if (aAvailable) {
-    RecordStoreAnswer(Now());
-    mStorePath.RecordAnswer(Now());
-  } else {
-    mStorePath.RecordFailure();
+  Instant now = Now();
+  mStorePath.RecordAnswer(now);
+  if (!mStoreReturn.RecordAnswer(now)) {
+    return;
+  }
+  if (mTellPeers && mStoreReturn.AgeToTell(now) == Duration::zero()) {
+    mTellPeers();
+  }
+  if (mOnStoreReturned) {
+    mOnStoreReturned();
+  }
+}
+
+void Core::RecordOwnStoreFailure(Instant aSentAt)
+{
+  mStorePath.RecordFailure();
+  mStoreReturn.RecordFailure(aSentAt);
+}
+
+void Core::RecordStoreReturn(Instant aAt)
+{
+  if (mStoreReturn.RecordTold(aAt) && mOnStoreReturned) {
+    mOnStoreReturned();
   }
+}
+
+void Core::SetStoreAvailable()
+{
+  RecordStoreAnswer(Now());
+  RecordOwnStoreAnswer();
+  LogStoreAvailable(true);
+}
+
+void Core::SetStoreUnavailable(Instant aSentAt)
+{
+  RecordOwnStoreFailure(aSentAt);
+  LogStoreAvailable(false);
+}
+
+void Core::LogStoreAvailable(bool aAvailable)
+{
   if (aAvailable == mStoreAvailable) {
     return;
   }
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -219,8 +219,15 @@
 
   // Waits on a timer of the I/O context, not on mClock.
   Awaitable<void> Sleep(Duration aTime);
-  // Records whether the store responds to this instance and logs a change.
-  void SetStoreAvailable(bool aAvailable);
+  // Records that the store responded to a call of this instance that was to show whether
+  // it does, or that one sent at aSentAt got no response. Logs a change.
+  void SetStoreAvailable();
+  void SetStoreUnavailable(Instant aSentAt);
+  // The same for any other call, without the log.
+  void RecordOwnStoreAnswer();
+  void RecordOwnStoreFailure(Instant aSentAt);
+  // Records that a peer saw the store respond at aAt after calls without a response.
+  void RecordStoreReturn(Instant aAt);
   // Records that the store responded to a request that this instance or a peer sent at
   // aRequestedAt.
   void RecordStoreAnswer(Instant aRequestedAt)
@@ -279,15 +286,24 @@
   std::array<store::Replica, store::kStoreSectionCount> mReplicas;
   // Called with the changed items of a section; empty while nothing is followed.
   std::function<void(const std::vector<store::Item>&)> mOnItemsChanged;
+  // Called when the store responds again, or when a peer is ahead of a section's replica
+  // since a time; empty while nothing is followed.
+  std::function<void()> mOnStoreReturned;
+  std::function<void(store::StoreSection, Instant)> mOnPeerAhead;
+  // Sends heartbeats to all peers at once; empty if there are none.
+  std::function<void()> mTellPeers;
   // Signalled when the replica of a section got changes or a confirmation.
   std::array<Signal, store::kStoreSectionCount> mReplicaNews;
   decide::StorePath mStorePath;
+  decide::StoreReturn mStoreReturn;
   bool mStoreAvailable = false;
   unsigned mRequestsInFlight = 0;
   std::size_t mRequestsWaiting = 0;       // for free capacity
   std::uint64_t mEndedForDescriptors = 0; // connections that ended at their limit
 
 private:
+  void LogStoreAvailable(bool aAvailable);
+
   base::Incarnation mSelf;
   decide::Acceptor mAcceptor;
   Instant mConfirmedAt{};
--- a/src/entry/relay.cc
+++ b/src/entry/relay.cc
@@ -75,6 +75,10 @@
 {
   *aMessage.mutable_status() = ToWire(mCore.Status());
   mReplication.ReportReplicas(*aMessage.mutable_status());
+  if (auto age = mCore.mStoreReturn.AgeToTell(mCore.Now())) {
+    auto milliseconds = std::chrono::floor<std::chrono::milliseconds>(*age).count();
+    aMessage.mutable_status()->set_store_returned_age_ms(std::uint64_t(milliseconds));
+  }
   if (aPeerDigest == mCore.mMembers.AddressDigest()) {
     return;
   }
@@ -110,6 +114,10 @@
               status.mSelf.mAddress,
               status.mDataCentre);
   }
+  if (aMessage.status().has_store_returned_age_ms()) {
+    auto age = peer::TimeFromWire(aMessage.status().store_returned_age_ms());
+    mCore.RecordStoreReturn(mCore.Now() - age);
+  }
   for (const wire::KnownAddress& known : aMessage.known()) {
     mCore.mMembers.AddAddress(known.address(), known.data_centre());
   }
--- a/src/entry/replication.cc
+++ b/src/entry/replication.cc
@@ -140,6 +140,9 @@
       lag.mRevision = std::max(position.mLastChangeRevision, position.mTombstonesFrom);
       lag.mSince = mCore.Now();
     }
+    if (behind && mCore.mOnPeerAhead) {
+      mCore.mOnPeerAhead(static_cast<store::StoreSection>(reported.part()), lag.mSince);
+    }
     bool sameDataCentre = aStatus.data_centre() == mCore.mSettings.mDataCentre;
     Duration delay = sameDataCentre ? kPeerFetchDelay : kRemotePeerFetchDelay;
     delay = behind ? delay : kUnconfirmedFetchDelay;
--- a/src/net/http.cc
+++ b/src/net/http.cc
@@ -334,12 +334,38 @@
   return CallOnce(std::move(aTo), std::move(aRequest), aTimeout, aTimeout);
 }
 
+// Connects a handle with the connection of a call during its life.
+class CallHandleUse
+{
+public:
+  CallHandleUse(CallHandle* aHandle, Connection& aConnection)
+    : mHandle(aHandle)
+  {
+    if (mHandle) {
+      mHandle->mConnection = &aConnection;
+    }
+  }
+  ~CallHandleUse()
+  {
+    if (mHandle) {
+      mHandle->mConnection = nullptr;
+    }
+  }
+  CallHandleUse(const CallHandleUse&) = delete;
+  CallHandleUse& operator=(const CallHandleUse&) = delete;
+
+private:
+  CallHandle* mHandle;
+};
+
 Awaitable<Response> CallOnce(base::HostPort aTo,
                              Request aRequest,
                              std::chrono::milliseconds aTimeout,
-                             std::chrono::milliseconds aStallTimeout)
+                             std::chrono::milliseconds aStallTimeout,
+                             CallHandle* aHandle)
 {
   Connection connection(co_await asio::this_coro::executor);
+  CallHandleUse use(aHandle, connection);
   co_await connection.Connect(aTo, std::min(aTimeout, kConnectTimeout));
   aRequest.set(http::field::host, aTo.mHost);
   aRequest.keep_alive(false);
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -189,13 +189,32 @@
   boost::system::error_code mSendError;   // of the last call that read while sending
 };
 
+// Ends the call that it was given to.
+class CallHandle
+{
+public:
+  // Aborts the call if it is in flight; it then throws CallError.
+  void Abort()
+  {
+    if (mConnection) {
+      mConnection->Close();
+    }
+  }
+
+private:
+  friend class CallHandleUse;
+  Connection* mConnection = nullptr;
+};
+
 // Makes one call on a new connection. Throws CallError.
 Awaitable<Response> CallOnce(base::HostPort aTo,
                              Request aRequest,
                              std::chrono::milliseconds aTimeout);
+// aHandle may be null; otherwise it must outlive the call.
 Awaitable<Response> CallOnce(base::HostPort aTo,
                              Request aRequest,
                              std::chrono::milliseconds aTimeout,
-                             std::chrono::milliseconds aStallTimeout);
+                             std::chrono::milliseconds aStallTimeout,
+                             CallHandle* aHandle = nullptr);
 
 } // namespace vanillaloft::net
--- a/src/store/feed.h
+++ b/src/store/feed.h
@@ -27,6 +27,14 @@
   std::uint64_t mRevision = 0; // of the store; the next watch starts after it
 };
 
+// How long a watch waits at the store for changes, and the time in which the answer must
+// then arrive. A store that is silent cannot be told from one without changes before.
+struct WatchTime
+{
+  std::chrono::milliseconds mWait;
+  std::chrono::milliseconds mAnswer;
+};
+
 // The store no longer has the changes after the requested revision, so that a new listing
 // is required.
 class HistoryCompacted : public StoreError
@@ -48,10 +56,13 @@
   // may already contain changes after its revision.
   virtual Awaitable<ItemBatch> List(std::string aPrefix) = 0;
   // Returns the changes after revision aAfter as soon as there are any, or an empty batch
-  // after aWait. Throws HistoryCompacted.
+  // after aTime.mWait. Throws HistoryCompacted, and StoreError if no byte of the answer
+  // arrives within the time.
   virtual Awaitable<ItemBatch> WatchChanges(std::string aPrefix,
                                             std::uint64_t aAfter,
-                                            std::chrono::milliseconds aWait) = 0;
+                                            WatchTime aTime) = 0;
+  // Ends the watch of a prefix that is in flight, if there is one. It throws StoreError.
+  virtual void AbandonWatch(const std::string& aPrefix) = 0;
 };
 
 } // namespace vanillaloft::store
--- a/tests/unit/daemon.cc
+++ b/tests/unit/daemon.cc
@@ -26,12 +26,14 @@
 constexpr const char* kServerPrefix = "servers/";
 constexpr const char* kOperatorPrefix = "operators/";
 constexpr auto kPollInterval = 20ms;
+constexpr auto kCallTimeout = 1000ms; // of calls other than watches
 
 // The store content that all instances of a test read.
 struct StoreContent
 {
   std::map<std::string, store::Item> mItems; // by key, including deleted items
   std::uint64_t mRevision = 1;
+  bool mSilent = false; // calls that arrive or end now are never answered
 
   void Write(const std::string& aKey, const std::string& aValue)
   {
@@ -92,31 +94,50 @@
   }
   Awaitable<store::ItemBatch> WatchChanges(std::string aPrefix,
                                            std::uint64_t aAfter,
-                                           std::chrono::milliseconds aWait) override
+                                           store::WatchTime aTime) override
   {
     ++mFeedCalls;
-    for (std::chrono::milliseconds waited{}; waited < aWait; waited += kPollInterval) {
-      co_await SimulateRoundTrip();
+    mAbandoned.erase(aPrefix);
+    bool lost = mContent.mSilent;
+    auto end = std::chrono::steady_clock::now() + aTime.mWait;
+    for (;;) {
+      co_await Wait(kPollInterval);
+      auto now = std::chrono::steady_clock::now();
       store::ItemBatch items = ItemsAfter(aPrefix, aAfter);
-      if (!items.mItems.empty()) {
+      bool answers = now >= end || !items.mItems.empty();
+      lost = lost || (answers && mContent.mSilent);
+      if (answers && !lost) {
         co_return items;
       }
+      if (mAbandoned.contains(aPrefix) || now >= end + aTime.mAnswer) {
+        throw store::StoreError("the watch was given up or not answered");
+      }
     }
-    co_return ItemsAfter(aPrefix, aAfter);
   }
+  void AbandonWatch(const std::string& aPrefix) override { mAbandoned.insert(aPrefix); }
 
   unsigned mFeedCalls = 0; // listings and watches
 
 private:
-  Awaitable<void> SimulateRoundTrip() const
+  Awaitable<void> Wait(std::chrono::milliseconds aTime) const
   {
-    asio::steady_timer timer(mContext, kPollInterval);
+    asio::steady_timer timer(mContext, aTime);
     co_await timer.async_wait(asio::use_awaitable);
     if (mCut) {
       throw store::StoreError("the connection to the store is cut");
     }
   }
 
+  Awaitable<void> SimulateRoundTrip() const
+  {
+    bool lost = mContent.mSilent;
+    co_await Wait(kPollInterval);
+    if (lost || mContent.mSilent) {
+      co_await Wait(kCallTimeout);
+      throw store::StoreError("the store did not answer");
+    }
+  }
+
   store::ItemBatch ItemsAfter(const std::string& aPrefix, std::uint64_t aAfter) const
   {
     store::ItemBatch items;
@@ -132,6 +153,7 @@
   asio::io_context& mContext;
   const StoreContent& mContent;
   const bool& mCut;
+  std::set<std::string> mAbandoned; // prefixes
 };
 
 // Items under kServerPrefix have a server's state as value; an item under kOperatorPrefix
@@ -172,10 +194,12 @@
   return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
 }
 
-entry::InstanceSettings SettingsOf(const std::string& aAddress, const std::string& aPeer)
+entry::InstanceSettings SettingsOf(const std::string& aAddress,
+                                   const std::string& aPeer,
+                                   const std::string& aDataCentre = "d1")
 {
   entry::InstanceSettings settings;
-  settings.mDataCentre = "d1";
+  settings.mDataCentre = aDataCentre;
   settings.mPeerAddress = aAddress;
   settings.mSeeds = aPeer + "@d1";
   settings.mTicketLifetime = 30s;
@@ -195,9 +219,10 @@
 
   FollowingInstance(const StoreContent& aContent,
                     const std::string& aAddress,
-                    const std::string& aPeer)
+                    const std::string& aPeer,
+                    const std::string& aDataCentre = "d1")
     : mInstance(
-        SettingsOf(aAddress, aPeer),
+        SettingsOf(aAddress, aPeer, aDataCentre),
         mFormat,
         [&] {
           auto store =
@@ -339,8 +364,107 @@
   }
 };
 
+// Eight instances in as many data centres, so that each follows the store for itself.
+struct SmallSite
+{
+  static constexpr std::size_t kInstances = 8;
+
+  StoreContent mContent;
+  std::vector<std::unique_ptr<FollowingInstance>> mInstances;
+
+  SmallSite()
+  {
+    std::string first = FreeAddress();
+    for (std::size_t i = 0; i < kInstances; ++i) {
+      mInstances.push_back(std::make_unique<FollowingInstance>(
+        mContent, i == 0 ? first : FreeAddress(), first, "d" + std::to_string(i + 1)));
+    }
+    mContent.Write("servers/i-1", "ready");
+  }
+
+  // Runs all instances until the condition holds. Returns false if it does not hold
+  // within aMost.
+  template<typename Condition>
+  bool RunUntil(Condition aCondition, std::chrono::milliseconds aMost)
+  {
+    auto end = std::chrono::steady_clock::now() + aMost;
+    while (!aCondition()) {
+      if (std::chrono::steady_clock::now() > end) {
+        return false;
+      }
+      for (auto& instance : mInstances) {
+        instance->mInstance.mContext.poll();
+      }
+      std::this_thread::sleep_for(1ms);
+    }
+    return true;
+  }
+
+  void RunFor(std::chrono::milliseconds aTime)
+  {
+    RunUntil([] { return false; }, aTime);
+  }
+
+  bool AllKnowEachOther()
+  {
+    return std::ranges::all_of(mInstances, [](auto& aInstance) {
+      entry::Core& core = aInstance->mInstance.mCore;
+      return core.mMembers.AliveCount(core.Now()) == kInstances - 1;
+    });
+  }
+  bool AllSee(const std::string& aServer)
+  {
+    return std::ranges::all_of(
+      mInstances, [&](auto& aInstance) { return aInstance->HasServer(aServer); });
+  }
+
+  ~SmallSite()
+  {
+    bool closed = false;
+    std::thread closer([&] {
+      for (auto& instance : mInstances) {
+        instance->mInstance.mPeerServer.Close();
+      }
+      asio::post(mInstances[0]->mInstance.mContext, [&] { closed = true; });
+    });
+    RunUntil([&] { return closed; }, 60s);
+    closer.join();
+  }
+};
+
 } // namespace
 
+// Guards against requests to servers that have left (DRAIN): a watch that is sent while
+// the store is silent is lost, and instances were blind until its end, up to 6 s after
+// the store's return.
+TEST_CASE("all instances learn of changes within a second of the end of a silence")
+{
+  SmallSite site;
+  REQUIRE(
+    site.RunUntil([&] { return site.AllKnowEachOther() && site.AllSee("i-1"); }, 20s));
+  std::chrono::milliseconds length{};
+  SUBCASE("a short one, just after a change that ended all watches")
+  {
+    site.mContent.Write("servers/i-2", "ready");
+    REQUIRE(site.RunUntil([&] { return site.AllSee("i-2"); }, 2s));
+    length = 900ms;
+  }
+  SUBCASE("a short one in the middle of all watches")
+  {
+    site.RunFor(1700ms);
+    length = 300ms;
+  }
+  SUBCASE("one that is longer than a watch")
+  {
+    length = 5600ms;
+  }
+  site.mContent.mSilent = true;
+  site.RunFor(length);
+  site.mContent.mSilent = false;
+  site.mContent.Write("servers/i-3", "ready");
+  CHECK(site.RunUntil([&] { return site.AllSee("i-3"); }, 1s));
+}
+
 // Guards against a price of store calls that grows with the number of instances: each
 // watched every change for itself.
 TEST_CASE("one of three instances watches the store, and the others learn at once")
--- a/tests/unit/decide_watcher.cc
+++ b/tests/unit/decide_watcher.cc
@@ -132,7 +132,7 @@
     plan.StoreFailed(kStart);
   }
   CHECK(plan.Next(true, false, limit, kStart + kMaxAskInterval) == FollowStep::AskStore);
-  plan.StoreAnswered();
+  plan.StoreAnswered(false);
   CHECK(plan.Next(true, false, limit, kStart + 1ms) == FollowStep::AskStore);
 }
 
@@ -145,3 +145,55 @@
   CHECK(plan.WatcherTimeout(limit, 1s) == 1s);
   CHECK(plan.WatcherTimeout(std::nullopt, 1s) == 1s);
 }
+
+// Guards against an instance that is blind to changes (DRAIN): after a call without an
+// answer it waited at the store again for as long as ever.
+TEST_CASE("after a call that failed or was given up the store is probed")
+{
+  FollowPlan plan(kRegistrationLimits);
+  auto next = [&] { return plan.Next(false, true, 1s, kStart); };
+  CHECK(next() == FollowStep::WatchForSelf);
+  plan.StoreFailed(kStart);
+  CHECK(next() == FollowStep::ProbeStore);
+  plan.StoreAnswered(false);
+  CHECK(next() == FollowStep::WatchForSelf);
+  plan.WatchAbandoned();
+  CHECK(next() == FollowStep::ProbeStore);
+  CHECK(plan.Next(true, true, 1s, kStart) == FollowStep::AskStore);
+}
+
+TEST_CASE("watches that one event ended end one after the other, then after equal times")
+{
+  FollowPlan plan(kRegistrationLimits);
+  CHECK(plan.OwnWatchTime(0, 4) == kWatchSpreadTime / 4);
+  CHECK(plan.OwnWatchTime(3, 4) == kWatchSpreadTime);
+  plan.StoreAnswered(true);
+  CHECK(plan.OwnWatchTime(0, 4) == kOwnWatchTime);
+  plan.StoreAnswered(false);
+  CHECK(plan.OwnWatchTime(1, 4) == kWatchSpreadTime / 2);
+}
+
+TEST_CASE("peers are told once of a return of the store, and it casts doubt on watches")
+{
+  StoreReturn seen;
+  CHECK_FALSE(seen.MayHaveLost(kStart));
+  CHECK_FALSE(seen.RecordAnswer(kStart));
+  seen.RecordFailure(kStart - 1s);
+  CHECK(seen.RecordAnswer(kStart));
+  CHECK_FALSE(seen.RecordAnswer(kStart));
+  CHECK(seen.MayHaveLost(kStart - 1ms));
+  CHECK_FALSE(seen.MayHaveLost(kStart));
+  CHECK(seen.AgeToTell(kStart + 1s) == 1s);
+  CHECK_FALSE(seen.AgeToTell(kStart + kTellReturnTime));
+  CHECK_FALSE(seen.RecordTold(kStart + 500ms));
+  seen.RecordFailure(kStart - 1ms); // no news: it was lost with the others
+  CHECK_FALSE(seen.RecordAnswer(kStart + 600ms));
+  seen.RecordFailure(kStart + 600ms);
+  CHECK(seen.RecordAnswer(kStart + 700ms));
+  CHECK(seen.MayHaveLost(kStart + 699ms));
+  seen.RecordFailure(kStart + 700ms);
+  CHECK(seen.RecordTold(kStart + 2s));
+  CHECK_FALSE(seen.RecordAnswer(kStart + 2s));
+  CHECK(seen.MayHaveLost(kStart + 1s));
+  CHECK(seen.AgeToTell(kStart + 2s) == 2s); // not what a peer told
+}
--- a/tests/unit/platform.cc
+++ b/tests/unit/platform.cc
@@ -452,8 +452,9 @@
   CHECK(value.mText == "node-1");
   test::CannedServer compacted(context, "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n");
   platform::PlatformStore staleStore(compacted.Address());
-  CHECK_THROWS_AS(test::RunCoroutine(context, staleStore.WatchChanges("op/", 3, 10ms)),
-                  store::HistoryCompacted);
+  CHECK_THROWS_AS(
+    test::RunCoroutine(context, staleStore.WatchChanges("op/", 3, { 10ms, 1s })),
+    store::HistoryCompacted);
   test::CannedServer conflicting(
     context, "HTTP/1.1 412 Precondition Failed\r\nContent-Length: 0\r\n\r\n");
   platform::PlatformStore conflictingStore(conflicting.Address());
