Log: the event loop never waits for the reader of the log

Cause: the logger wrote each line on the thread of the event loop, and a write to a full pipe waits. Change: base::LogWriter queues at most 256 KiB of lines, and a thread of its own writes them. Lines that find no room, or that the output refuses, are dropped and counted, in the metric vanillaloft_log_lines_dropped and in a line (event 1009) when lines can be written again. The end of the process waits 0.2 s for its last lines and not for the thread. Messages of gRPC, and what spdlog says of lines that it cannot format, went to the standard error in the same way; they use the queue or are counted.

--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -28,6 +28,10 @@
   EventInfo{ Event::TaskFailed,
              "task-failed",
              "An unexpected error ended a background task; loops start again." },
+  EventInfo{ Event::LogLinesDropped,
+             "log-lines-dropped",
+             "Lines of the log were dropped, because its reader did not read or the "
+             "output failed." },
   EventInfo{ Event::ConfigurationInForce,
              "configuration-in-force",
              "A revision came into force." },
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -21,6 +21,7 @@
   Reloaded = 1006,
   ReloadFailed = 1007,
   TaskFailed = 1008,
+  LogLinesDropped = 1009,
   ConfigurationInForce = 2001,
   ConfigurationRefused = 2002,
   ConfigurationOlderIgnored = 2003,
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -3,8 +3,9 @@
 #include <iostream>
 #include <malloc.h>
 
-#include <spdlog/sinks/stdout_sinks.h>
+#include <unistd.h>
 
+#include "base/log_writer.h"
 #include "base/settings.h"
 #include "daemon/instance.h"
 #include "daemon/runner.h"
@@ -21,6 +22,8 @@
 constexpr int kExitSetting = 2;
 constexpr int kExitFailure = 1;
 constexpr std::chrono::milliseconds kStoreTimeout{ 1000 };
+// Time for the last lines of the log at the end of the process.
+constexpr std::chrono::milliseconds kLastLinesTime{ 200 };
 
 const std::vector<base::Flag> kFlags = {
   { "data-centre", "", true, "name of this instance's data centre in the configuration" },
@@ -66,6 +69,19 @@
   mallopt(M_MMAP_THRESHOLD, kLargeBlockBytes);
 }
 
+// Starts the log, and lets an error that nothing handles end the process only after the
+// last lines.
+void StartLog(int aDescriptor)
+{
+  base::StartLog(aDescriptor);
+  peer::LogLibraryMessages();
+  std::set_terminate([] {
+    spdlog::critical("an unexpected error ends the process");
+    base::AwaitLogWritten(kLastLinesTime);
+    std::abort();
+  });
+}
+
 // Throws base::SettingError.
 void SetLogLevel(const base::Settings& aSettings)
 {
@@ -122,20 +138,14 @@
   instance.Run([] {});
 }
 
-} // namespace
-
-int main(int aArgc, char** aArgv)
+// Returns the exit code. aSettingsPath: of the users' platform, if the process runs
+// there.
+int RunProgram(int aArgc, char** aArgv, const std::optional<std::string>& aSettingsPath)
 {
-  daemon::DeferSignals();
-  spdlog::set_default_logger(spdlog::stderr_logger_mt("vanillaloftd"));
-  std::signal(SIGPIPE, SIG_IGN);
-  ReturnLargeBlocks();
   try {
-    if (auto path = platform::SettingsPath()) {
-      spdlog::set_default_logger(
-        spdlog::stdout_logger_mt("vanillaloftd on the platform"));
+    if (aSettingsPath) {
       SetLogLevel(base::Settings::Parse(aArgc, aArgv, kPlatformFlags));
-      platform::RunInstance(*path);
+      platform::RunInstance(*aSettingsPath);
       return kExitOk;
     }
     base::Settings settings = base::Settings::Parse(aArgc, aArgv, kFlags);
@@ -158,3 +168,17 @@
     return kExitFailure;
   }
 }
+
+} // namespace
+
+int main(int aArgc, char** aArgv)
+{
+  daemon::DeferSignals();
+  std::signal(SIGPIPE, SIG_IGN);
+  ReturnLargeBlocks();
+  auto settingsPath = platform::SettingsPath();
+  StartLog(settingsPath ? STDOUT_FILENO : STDERR_FILENO);
+  int exitCode = RunProgram(aArgc, aArgv, settingsPath);
+  base::AwaitLogWritten(kLastLinesTime);
+  return exitCode;
+}
--- a/src/entry/core.cc
+++ b/src/entry/core.cc
@@ -43,6 +43,8 @@
   { "vanillaloft_idle_connections", "Idle connections to backend servers." },
   { "vanillaloft_idle_connections_displaced",
     "Idle connections to backend servers closed at their limit." },
+  { "vanillaloft_log_lines_dropped",
+    "Lines of the log dropped because its reader did not read or the output failed." },
   { "vanillaloft_registrations_age_seconds",
     "Age of what is known of the backend servers' registrations; -1 if nothing is." },
 };
--- a/src/entry/dump.cc
+++ b/src/entry/dump.cc
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/log_writer.h"
+
 namespace vanillaloft::entry {
 
 using nlohmann::json;
@@ -130,6 +132,7 @@
     .Set(double(aCore.mIdle.Displaced()));
   metrics.Gauge("vanillaloft_requests_running").Set(double(aCore.mRequestsInFlight));
   metrics.Gauge("vanillaloft_requests_waiting").Set(double(aCore.mRequestsWaiting));
+  metrics.Gauge("vanillaloft_log_lines_dropped").Set(double(base::DroppedLogLines()));
   Duration age = aCore.RegistrationsAge();
   metrics.Gauge("vanillaloft_registrations_age_seconds")
     .Set(age == Duration::max() ? -1 : std::chrono::duration<double>(age).count());
--- a/src/peer/peer.cc
+++ b/src/peer/peer.cc
@@ -10,12 +10,15 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <grpc/support/log.h>
 #include <grpcpp/client_context.h>
 #include <grpcpp/create_channel.h>
 #include <grpcpp/resource_quota.h>
 #include <grpcpp/server_builder.h>
 #include <spdlog/spdlog.h>
 
+#include "base/event.h"
+
 namespace vanillaloft::peer {
 
 namespace asio = boost::asio;
@@ -39,6 +42,16 @@
 
 } // namespace
 
+void LogLibraryMessages()
+{
+  gpr_set_log_function([](gpr_log_func_args* aMessage) {
+    bool isError = aMessage->severity == GPR_LOG_SEVERITY_ERROR;
+    spdlog::log(isError ? spdlog::level::warn : spdlog::level::debug,
+                "gRPC: {}",
+                base::Printable(aMessage->message));
+  });
+}
+
 std::chrono::milliseconds TimeFromWire(std::uint64_t aMilliseconds)
 {
   return std::chrono::milliseconds(std::min(aMilliseconds, kMaxWireMilliseconds));
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -16,6 +16,10 @@
 
 namespace vanillaloft::peer {
 
+// Writes the messages of the gRPC library to the log. By default it writes them to the
+// standard error, and its callers wait for the reader.
+void LogLibraryMessages();
+
 // Converts a time of a message. Longer times than a day are limited to one, so that
 // calculations with them cannot overflow.
 std::chrono::milliseconds TimeFromWire(std::uint64_t aMilliseconds);
--- a/tools/process.sh
+++ b/tools/process.sh
@@ -222,6 +222,33 @@
 await 8 sh -c "curl -s -m 2 -H '$KEY' http://${ENTRY[e1]}/stock/x | grep -q answer"
 verdict woken-serves-again $?
 
+# While nothing reads the log of an instance, it serves, counts the lines that it drops, and stops in time.
+declare -A UNREAD=([entry]=127.0.0.1:${BASE}021 [admin]=127.0.0.1:${BASE}221)
+mkfifo "$LOGS/unread"
+sleep 300 <>"$LOGS/unread" & # keeps the pipe open
+PIDS+=($!)
+"$BUILD/src/vanillaloftd" --data-centre east-1 --listen "${UNREAD[entry]}" --peer-listen "127.0.0.1:${BASE}121" \
+  --admin-listen "${UNREAD[admin]}" --store "$STORE" --seeds "${PEER[e1]}@east-1" \
+  --ticket-ttl-ms "$TICKET_TTL_MS" --stop-timeout-ms 20000 \
+  2>"$LOGS/unread" &
+unread=$!
+PIDS+=($unread)
+unread_answers() { curl -s -m 2 -H "$KEY" "http://${UNREAD[entry]}/stock/x" | grep -q answer; }
+await 20 unread_answers
+"$BUILD/tests/load" --entries "${UNREAD[entry]}" --key demo-key-of-grocer --service stock --path /stock/y \
+  --order-path /reorders --rate 400 --seconds 9 --orders-percent 0 >"$LOGS/unread.txt"
+await 5 unread_answers
+verdict serves-while-its-log-is-not-read $? "$(cat "$LOGS/unread.txt")"
+dropped() { curl -s "http://${UNREAD[admin]}/metrics" | grep -qE '^vanillaloft_log_lines_dropped [1-9]'; }
+await 5 dropped
+verdict dropped-lines-are-counted $?
+kill -TERM $unread
+(sleep 15 && kill -KILL $unread) & # after its accept period of 6.5 s
+late=$!
+wait $unread
+expect stops-while-its-log-is-not-read 0 $?
+kill $late 2>/dev/null
+
 # A process that is told to stop in the first moments of its start stops as planned.
 ended=""
 for i in 1 2 3 4 5; do
