Peer: a connection to a peer that goes silent is replaced

Cause: the channels between instances have no keep-alive, so one that went silent stayed in use until the kernel gave it up after minutes. Heartbeats failed meanwhile, and the instance believed itself alone. Change: after two heartbeats in a row without an answer the channel is forgotten, and the next call makes another, with a connection of its own (event 4003). Calls in flight keep the old one. Evidence: unit-peer: a connection to a peer that goes silent is replaced, through a proxy on loopback that silences what it carries.

--- a/src/base/event.h
+++ b/src/base/event.h
@@ -41,6 +41,7 @@
   ShareReclaimed = 3004,
   PeerLost = 4001,
   PeerFound = 4002,
+  PeerConnectionSilent = 4003,
   BackendServerState = 5001,
   ConnectionClosed = 5002,
   DataCentreEvacuated = 5003,
--- a/src/peer/peer.cc
+++ b/src/peer/peer.cc
@@ -35,6 +35,7 @@
 template<typename Request, typename Reply>
 struct CallState
 {
+  std::shared_ptr<void> mPeer; // keeps the channel
   grpc::ClientContext mContext;
   Request mRequest;
   Reply mReply;
@@ -201,7 +202,7 @@
   mPending->CancelAll();
 }
 
-Client::Peer& Client::FindOrCreatePeer(const std::string& aAddress)
+Client::PeerPtr Client::FindOrCreatePeer(const std::string& aAddress)
 {
   auto found = mPeers.find(aAddress);
   if (found != mPeers.end()) {
@@ -210,16 +211,33 @@
   grpc::ChannelArguments arguments;
   arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
   arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+  // Otherwise a new channel uses the connection of the one that it replaces.
+  arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
   arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, kMinReconnectBackoffMs);
   arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, kMinReconnectBackoffMs);
   arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, kMaxReconnectBackoffMs);
-  Peer peer;
-  peer.mChannel =
+  auto peer = std::make_shared<Peer>();
+  peer->mChannel =
     grpc::CreateCustomChannel(aAddress, grpc::InsecureChannelCredentials(), arguments);
-  peer.mStub = wire::Peer::NewStub(peer.mChannel);
+  peer->mStub = wire::Peer::NewStub(peer->mChannel);
   return mPeers.emplace(aAddress, std::move(peer)).first->second;
 }
 
+// The next call makes a new channel, and with it a new connection.
+void Client::RecordUnansweredBeat(const std::string& aAddress, const PeerPtr& aPeer)
+{
+  auto current = mPeers.find(aAddress);
+  bool isCurrent = current != mPeers.end() && current->second == aPeer;
+  if (++aPeer->mUnansweredBeats >= kMaxUnansweredBeats && isCurrent) {
+    base::Log(spdlog::level::info,
+              base::Event::PeerConnectionSilent,
+              "peer={} unanswered={}",
+              aAddress,
+              aPeer->mUnansweredBeats);
+    mPeers.erase(current);
+  }
+}
+
 // If the channel is not connected, the call is certainly not sent. Once it is passed to a
 // connected channel, an error does not tell whether the peer received it.
 template<typename Request, typename Reply, typename Method>
@@ -228,11 +246,12 @@
                               std::chrono::milliseconds aTimeout,
                               Method aMethod)
 {
-  Peer& peer = FindOrCreatePeer(aAddress);
-  if (peer.mChannel->GetState(true) != GRPC_CHANNEL_READY) {
+  PeerPtr peer = FindOrCreatePeer(aAddress);
+  if (peer->mChannel->GetState(true) != GRPC_CHANNEL_READY) {
     throw PeerError(false, "not connected to " + aAddress);
   }
   auto state = std::make_shared<CallState<Request, Reply>>();
+  state->mPeer = peer;
   state->mRequest = std::move(aRequest);
   state->mContext.set_deadline(std::chrono::system_clock::now() + aTimeout);
   auto initiate = [&](auto aHandler) {
@@ -246,12 +265,18 @@
       pending->Remove(&state->mContext);
     };
     mPending->Add(&state->mContext);
-    (peer.mStub->async()->*aMethod)(
+    (peer->mStub->async()->*aMethod)(
       &state->mContext, &state->mRequest, &state->mReply, onDone);
   };
   auto status =
     co_await asio::async_initiate<const asio::use_awaitable_t<>&, void(grpc::Status)>(
       initiate, asio::use_awaitable);
+  bool unanswered = status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED;
+  if (!unanswered) {
+    peer->mUnansweredBeats = 0;
+  } else if constexpr (std::is_same_v<Request, wire::BeatRequest>) {
+    RecordUnansweredBeat(aAddress, peer);
+  }
   if (!status.ok()) {
     throw PeerError(true, status.error_message());
   }
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -77,6 +77,10 @@
   std::unique_ptr<grpc::Server> mServer;
 };
 
+// Heartbeats to a peer in a row that may stay unanswered before its connection counts as
+// silent and is replaced.
+constexpr unsigned kMaxUnansweredBeats = 2;
+
 // Client for calls to peers. Channels are cached by address. The retries of gRPC are off,
 // so that the library never repeats a call.
 class Client
@@ -115,10 +119,15 @@
   {
     std::shared_ptr<grpc::Channel> mChannel;
     std::unique_ptr<wire::Peer::Stub> mStub;
+    unsigned mUnansweredBeats = 0;
   };
+  // Shared with the calls in flight, which may outlast the channel's use.
+  using PeerPtr = std::shared_ptr<Peer>;
 
   // Returns the cached peer, or creates its channel.
-  Peer& FindOrCreatePeer(const std::string& aAddress);
+  PeerPtr FindOrCreatePeer(const std::string& aAddress);
+  // Forgets the channel to a peer whose connection is silent.
+  void RecordUnansweredBeat(const std::string& aAddress, const PeerPtr& aPeer);
   template<typename Request, typename Reply, typename Method>
   Awaitable<Reply> Call(std::string aAddress,
                         Request aRequest,
@@ -127,7 +136,7 @@
 
   boost::asio::io_context& mContext;
   std::shared_ptr<PendingCalls> mPending;
-  std::map<std::string, Peer> mPeers;
+  std::map<std::string, PeerPtr> mPeers; // by address
 };
 
 } // namespace vanillaloft::peer
--- a/tests/unit/peer.cc
+++ b/tests/unit/peer.cc
@@ -1,6 +1,7 @@
 // Unit tests of the calls between entry instances.
 #include <doctest/doctest.h>
 
+#include <array>
 #include <thread>
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -79,8 +80,96 @@
   }
 }
 
+// Forwards connections to kAddress. Those that exist when Silence is called carry nothing
+// any more but stay open.
+class Proxy
+{
+public:
+  explicit Proxy(boost::asio::io_context& aContext)
+    : mAcceptor(aContext, { boost::asio::ip::address_v4::loopback(), 0 })
+  {
+    boost::asio::co_spawn(aContext, Accept(), boost::asio::detached);
+  }
+  std::string Address() const
+  {
+    return "127.0.0.1:" + std::to_string(mAcceptor.local_endpoint().port());
+  }
+  void Silence() { mSilentUpTo = mAccepted; }
+
+private:
+  using Socket = boost::asio::ip::tcp::socket;
+
+  boost::asio::awaitable<void> Accept()
+  {
+    auto executor = co_await boost::asio::this_coro::executor;
+    for (;;) {
+      auto near = std::make_shared<Socket>(
+        co_await mAcceptor.async_accept(boost::asio::use_awaitable));
+      auto far = std::make_shared<Socket>(executor);
+      base::HostPort to = base::ParseHostPort("address", kAddress);
+      co_await far->async_connect({ boost::asio::ip::make_address(to.mHost), to.mPort },
+                                  boost::asio::use_awaitable);
+      unsigned number = ++mAccepted;
+      boost::asio::co_spawn(executor, Pump(number, near, far), boost::asio::detached);
+      boost::asio::co_spawn(executor, Pump(number, far, near), boost::asio::detached);
+    }
+  }
+
+  boost::asio::awaitable<void> Pump(unsigned aNumber,
+                                    std::shared_ptr<Socket> aFrom,
+                                    std::shared_ptr<Socket> aTo)
+  {
+    std::array<char, 4096> bytes;
+    for (;;) {
+      std::size_t count = co_await aFrom->async_read_some(boost::asio::buffer(bytes),
+                                                          boost::asio::use_awaitable);
+      if (aNumber > mSilentUpTo) {
+        co_await boost::asio::async_write(
+          *aTo, boost::asio::buffer(bytes, count), boost::asio::use_awaitable);
+      }
+    }
+  }
+
+  boost::asio::ip::tcp::acceptor mAcceptor;
+  unsigned mAccepted = 0;
+  unsigned mSilentUpTo = 0;
+};
+
+// Returns whether one of aTries heartbeats to a peer is answered.
+bool IsAnswered(boost::asio::io_context& aContext,
+                peer::Client& aClient,
+                const std::string& aAddress,
+                int aTries)
+{
+  for (int i = 0; i < aTries; ++i) {
+    try {
+      test::RunCoroutine(aContext, aClient.Beat(aAddress, {}, 200ms));
+      return true;
+    } catch (const peer::PeerError&) {
+      aContext.restart();
+      aContext.run_for(20ms);
+    }
+  }
+  return false;
+}
+
 } // namespace
 
+// Guards against an instance that believes itself alone, and refuses for lack of tokens:
+// a connection to a peer that went silent stayed in use until the kernel gave it up.
+TEST_CASE("a connection to a peer that goes silent is replaced")
+{
+  boost::asio::io_context context;
+  TestHandler handler;
+  peer::Server server(context, handler, kAddress);
+  Proxy proxy(context);
+  peer::Client client(context);
+  REQUIRE(IsAnswered(context, client, proxy.Address(), kMaxRetries));
+  proxy.Silence();
+  CHECK_FALSE(IsAnswered(context, client, proxy.Address(), 1));
+  CHECK(IsAnswered(context, client, proxy.Address(), 20));
+}
+
 TEST_CASE("a call to an address without a listener reports that it was not sent")
 {
   boost::asio::io_context context;
