--- a/src/store/http.cc
+++ b/src/store/http.cc
@@ -5,6 +5,8 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "store/answer.h"
+
 namespace vanillaloft::store {
 
 namespace http = boost::beast::http;
@@ -14,15 +16,6 @@
 
 constexpr const char* kVersionHeader = "X-Consul-Index";
 
-// Throws StoreError for any other status than 200.
-void RequireOk(const net::Response& aResponse)
-{
-  if (aResponse.result() != http::status::ok) {
-    throw StoreError(
-      fmt::format("the store returned HTTP status {}", aResponse.result_int()));
-  }
-}
-
 // Converts the response to a read. An absent key (404) is the value with version 0.
 // Throws StoreError for any other status but 200 and for a version that is missing, zero
 // or no number.
