Entry: forwarding to other instances has a file of its own

Forwarder holds what Pipeline did to send a request to a peer: the choice among several, the budgets between regions, the call and the check of its reply. No change of behaviour.

--- a/src/entry/pipeline.h
+++ b/src/entry/pipeline.h
@@ -7,6 +7,7 @@
 #include "entry/admission.h"
 #include "entry/backend.h"
 #include "entry/core.h"
+#include "entry/forward.h"
 #include "entry/resolver.h"
 
 namespace vanillaloft::entry {
@@ -31,6 +32,7 @@
     : mCore(aCore)
     , mResolver(aCore)
     , mAdmission(aAdmission)
+    , mForwarder(aCore, aAdmission.mTokens)
     , mBackend(aBackend)
     , mPlacement(aPlacement)
   {
@@ -69,17 +71,9 @@
   Awaitable<decide::Outcome> ForwardToIssuer(Exchange& aExchange, std::string aIssuer);
   Awaitable<decide::Outcome> DeliverWithRetries(Exchange& aExchange, bool aOrder);
   Awaitable<decide::Outcome> Deliver(Exchange& aExchange, bool aOrder);
-  Awaitable<std::optional<decide::Outcome>> TryPeers(Exchange& aExchange,
-                                                     std::vector<std::string> aAddresses,
-                                                     bool aOrder);
-  Awaitable<decide::Outcome> ForwardTo(Exchange& aExchange,
-                                       std::string aAddress,
-                                       bool aOrder);
   Awaitable<decide::Outcome> SendToSlot(Exchange& aExchange,
                                         decide::Slot aSlot,
                                         bool aOrder);
-  Awaitable<bool> DebitRegionBudgets(const Exchange& aExchange,
-                                     const std::string& aAddress);
   void EstimateFirstAttempt(Exchange& aExchange);
   void RefuseBeyondStop(const Exchange& aExchange) const;
   bool CutByStop(const Exchange& aExchange, Result aCode) const;
@@ -93,6 +87,7 @@
   Core& mCore;
   Resolver mResolver;
   Admission& mAdmission;
+  Forwarder mForwarder;
   BackendClient& mBackend;
   Placement* mPlacement;
 };
