Store: the handle of a watch is shared with its call

Cause: net::CallHandleUse wrote into the handle of PlatformStore when the frame of a watch was destroyed, at the end of the process after the store was freed.

Change: the call and the store share the handle. Two unit tests of platform/: a watch that is given up ends at once; a watch in flight may be destroyed after its store.

The write after free itself shows under the address sanitizer only.

--- a/src/net/http.cc
+++ b/src/net/http.cc
@@ -338,8 +338,8 @@
 class CallHandleUse
 {
 public:
-  CallHandleUse(CallHandle* aHandle, Connection& aConnection)
-    : mHandle(aHandle)
+  CallHandleUse(std::shared_ptr<CallHandle> aHandle, Connection& aConnection)
+    : mHandle(std::move(aHandle))
   {
     if (mHandle) {
       mHandle->mConnection = &aConnection;
@@ -355,17 +355,17 @@
   CallHandleUse& operator=(const CallHandleUse&) = delete;
 
 private:
-  CallHandle* mHandle;
+  std::shared_ptr<CallHandle> mHandle;
 };
 
 Awaitable<Response> CallOnce(base::HostPort aTo,
                              Request aRequest,
                              std::chrono::milliseconds aTimeout,
                              std::chrono::milliseconds aStallTimeout,
-                             CallHandle* aHandle)
+                             std::shared_ptr<CallHandle> aHandle)
 {
   Connection connection(co_await asio::this_coro::executor);
-  CallHandleUse use(aHandle, connection);
+  CallHandleUse use(std::move(aHandle), connection);
   co_await connection.Connect(aTo, std::min(aTimeout, kConnectTimeout));
   aRequest.set(http::field::host, aTo.mHost);
   aRequest.keep_alive(false);
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -189,7 +189,8 @@
   boost::system::error_code mSendError;   // of the last call that read while sending
 };
 
-// Ends the call that it was given to.
+// Ends the call that it was given to. Shared with the call, whose coroutine may be
+// destroyed after the caller at the end of the process.
 class CallHandle
 {
 public:
@@ -210,11 +211,11 @@
 Awaitable<Response> CallOnce(base::HostPort aTo,
                              Request aRequest,
                              std::chrono::milliseconds aTimeout);
-// aHandle may be null; otherwise it must outlive the call.
+// aHandle may be null.
 Awaitable<Response> CallOnce(base::HostPort aTo,
                              Request aRequest,
                              std::chrono::milliseconds aTimeout,
                              std::chrono::milliseconds aStallTimeout,
-                             CallHandle* aHandle = nullptr);
+                             std::shared_ptr<CallHandle> aHandle = nullptr);
 
 } // namespace vanillaloft::net
--- a/tests/unit/platform.cc
+++ b/tests/unit/platform.cc
@@ -438,6 +438,40 @@
   CHECK(format.ToCaller(outcome).result() == http::status::bad_gateway);
 }
 
+// Guards against an instance that waits for a store that has lost its watch (DRAIN).
+TEST_CASE("a watch that is given up ends at once")
+{
+  boost::asio::io_context context;
+  test::ScriptedServer server(context, { "" }); // reads requests only
+  platform::PlatformStore store(server.Address());
+  store.AbandonWatch("op/"); // none is in flight
+  bool failed = false;
+  boost::asio::co_spawn(context,
+                        store.WatchChanges("op/", 3, { 10s, 10s }),
+                        [&](std::exception_ptr aFailure, const store::ItemBatch&) {
+                          failed = aFailure != nullptr;
+                        });
+  context.run_for(50ms);
+  REQUIRE(server.Requests() == 1);
+  REQUIRE_FALSE(failed);
+  store.AbandonWatch("op/");
+  context.run_for(50ms);
+  CHECK(failed);
+}
+
+// Guards against a write to freed memory at the end of a process (seen by the address
+// sanitizer only): the coroutine of a watch is destroyed after the store.
+TEST_CASE("a watch in flight may be destroyed after its store")
+{
+  boost::asio::io_context context;
+  test::ScriptedServer server(context, { "" });
+  auto store = std::make_unique<platform::PlatformStore>(server.Address());
+  boost::asio::co_spawn(
+    context, store->WatchChanges("op/", 3, { 10s, 10s }), boost::asio::detached);
+  context.run_for(50ms);
+  CHECK(server.Requests() == 1);
+}
+
 TEST_CASE("store values are decoded, compacted history and conflicts are detected")
 {
   boost::asio::io_context context;
