--- a/src/base/event.h
+++ b/src/base/event.h
@@ -77,7 +77,11 @@
 // in the catalogue.
 const EventInfo& InfoOf(Event aEvent);
 
-// Logs an event as "event=NUMBER name=NAME ...", so that log tools can filter by number.
+// Form of an event's text, so that log tools can filter by number. Arguments: number,
+// name, details.
+constexpr const char* kEventFormat = "event={} name={} {}";
+
+// Logs an event in the form of kEventFormat.
 template<typename... Args>
 void Log(spdlog::level::level_enum aLevel,
          Event aEvent,
@@ -86,7 +90,7 @@
 {
   const EventInfo& info = InfoOf(aEvent);
   spdlog::log(aLevel,
-              "event={} name={} {}",
+              kEventFormat,
               static_cast<unsigned>(aEvent),
               info.mName,
               fmt::format(aFormat, std::forward<Args>(aArgs)...));
--- a/src/base/log_writer.cc
+++ b/src/base/log_writer.cc
@@ -52,11 +52,10 @@
 std::string DroppedReport(std::uint64_t aLines, std::uint64_t aTotal)
 {
   const EventInfo& info = InfoOf(Event::LogLinesDropped);
-  std::string text = fmt::format("event={} name={} lines={} total={}",
+  std::string text = fmt::format(kEventFormat,
                                  static_cast<unsigned>(info.mEvent),
                                  info.mName,
-                                 aLines,
-                                 aTotal);
+                                 fmt::format("lines={} total={}", aLines, aTotal));
   spdlog::details::log_msg message(kLoggerName, spdlog::level::warn, text);
   spdlog::memory_buf_t line;
   spdlog::pattern_formatter().format(message, line);
--- a/src/daemon/follow.cc
+++ b/src/daemon/follow.cc
@@ -142,8 +142,8 @@
 void Follower::AbandonLostWatches()
 {
   for (std::optional<PrefixState>& state : mStates) {
-    bool inFlight = state && state->mCall && !state->mCall->mIsListing;
-    if (inFlight && mCore.mStoreReturn.MayHaveLost(state->mCall->mRequestedAt)) {
+    bool inFlight = state && state->mWatch;
+    if (inFlight && mCore.mStoreReturn.MayHaveLost(state->mWatch->mRequestedAt)) {
       AbandonWatch(*state, "the store was silent");
     }
   }
@@ -153,9 +153,9 @@
 void Follower::AbandonLateWatch(store::StoreSection aSection, Instant aSince)
 {
   std::optional<PrefixState>& state = mStates[static_cast<std::size_t>(aSection)];
-  bool waits = state && state->mCall && !state->mCall->mIsListing &&
-               state->mCall->mTime.mWait > kQuickWatchTime.mWait;
-  if (waits && mCore.Now() - std::max(aSince, state->mCall->mRequestedAt) >=
+  bool waits =
+    state && state->mWatch && state->mWatch->mTime.mWait > kQuickWatchTime.mWait;
+  if (waits && mCore.Now() - std::max(aSince, state->mWatch->mRequestedAt) >=
                  decide::kMaxWatchLag) {
     AbandonWatch(*state, "a peer has newer changes");
   }
@@ -172,7 +172,6 @@
 {
   bool isListing = !aState.mReplica.HasListing() || aState.mHistoryCompacted;
   FeedCall call{ isListing, aTime, mCore.Now(), aState.mReplica.AsOf() };
-  aState.mCall = call;
   aState.mAbandonedBecause = nullptr;
   try {
     std::size_t items = co_await CallFeed(aState, call);
@@ -182,13 +181,11 @@
     mCore.NotifyReplicaNews(aState.mSection);
     ConfirmConfigFromReplica();
   } catch (const store::HistoryCompacted& error) {
-    aState.mCall.reset();
     mCore.SetStoreAvailable();
     RecordFailure(aState, call, error.what());
     aState.mHistoryCompacted = true;
     co_return Duration::zero();
   } catch (const std::exception& error) {
-    aState.mCall.reset();
     if (aState.mAbandonedBecause) {
       Log(spdlog::level::info,
           Event::WatchAbandoned,
@@ -238,6 +235,21 @@
   mWatcher.Reject(aWatcher, mCore.Now());
 }
 
+Awaitable<store::ItemBatch> Follower::Watch(PrefixState& aState, FeedCall aCall)
+{
+  aState.mWatch = aCall;
+  store::ItemBatch changes;
+  try {
+    changes = co_await mFeed.WatchChanges(
+      aState.mPrefix, aState.mReplica.Position().mCompleteRevision, aCall.mTime);
+  } catch (...) {
+    aState.mWatch.reset();
+    throw;
+  }
+  aState.mWatch.reset();
+  co_return changes;
+}
+
 // A watch starts after the replica's current revision, whether the replica got it from
 // the store or from a peer. The result counts as of the time of the request, because the
 // time at which the store created the response is not known.
@@ -248,14 +260,11 @@
   std::vector<store::Item> changed;
   if (aCall.mIsListing) {
     items = co_await mFeed.List(aState.mPrefix);
-    aState.mCall.reset();
     mCore.SetStoreAvailable();
     changed = replica.ApplyListing(items, aCall.mRequestedAt);
     aState.mHistoryCompacted = false;
   } else {
-    items = co_await mFeed.WatchChanges(
-      aState.mPrefix, replica.Position().mCompleteRevision, aCall.mTime);
-    aState.mCall.reset();
+    items = co_await Watch(aState, aCall);
     mCore.SetStoreAvailable();
     changed = replica.ApplyChanges(items, aCall.mRequestedAt);
   }
--- a/src/daemon/follow.h
+++ b/src/daemon/follow.h
@@ -91,12 +91,13 @@
     store::Replica& mReplica;
     std::string mPrefix;
     decide::FollowPlan mPlan;
-    std::optional<FeedCall> mCall = {};      // in flight
-    const char* mAbandonedBecause = nullptr; // set if mCall was given up
+    std::optional<FeedCall> mWatch = {};     // in flight
+    const char* mAbandonedBecause = nullptr; // set if the watch was given up
     bool mHistoryCompacted = false;          // a new listing is required
     unsigned mFailures = 0;                  // consecutive failed calls
     Instant mFailureLoggedAt{};              // time of the last failure line in the log
   };
+
   Awaitable<void> FollowPrefix(store::StoreSection aSection, std::string aPrefix);
   // Chooses the next step for a prefix and the watcher of the data centre.
   decide::FollowStep NextStep(PrefixState& aState);
@@ -116,6 +117,8 @@
   // Makes the call and applies its result. Returns the number of items received. Throws
   // StoreError.
   Awaitable<std::size_t> CallFeed(PrefixState& aState, FeedCall aCall);
+  // Makes a watch, which can be given up meanwhile. Throws StoreError.
+  Awaitable<store::ItemBatch> Watch(PrefixState& aState, FeedCall aCall);
   std::string Describe(const PrefixState& aState, const FeedCall& aCall) const;
   void RecordSuccess(PrefixState& aState, const FeedCall& aCall, std::size_t aItems);
   void RecordFailure(PrefixState& aState, const FeedCall& aCall, const char* aCause);
--- a/src/decide/member.cc
+++ b/src/decide/member.cc
@@ -102,29 +102,28 @@
 bool Members::Alive(const std::string& aAddress, Instant aNow) const
 {
   const Member* member = Find(aAddress);
-  return member && aNow - member->mReceivedAt < mTimeout;
+  return member && IsAlive(*member, aNow);
 }
 
 bool Members::HasShareHolder(Instant aNow) const
 {
   return std::ranges::any_of(mMembers, [&](const auto& aEntry) {
     const Member& member = aEntry.second;
-    return member.mStatus.mHoldsShares && aNow - member.mReceivedAt < mTimeout;
+    return member.mStatus.mHoldsShares && IsAlive(member, aNow);
   });
 }
 
 std::size_t Members::AliveCount(Instant aNow) const
 {
-  auto count = std::ranges::count_if(mMembers, [&](const auto& aEntry) {
-    return aNow - aEntry.second.mReceivedAt < mTimeout;
-  });
+  auto count = std::ranges::count_if(
+    mMembers, [&](const auto& aEntry) { return IsAlive(aEntry.second, aNow); });
   return static_cast<std::size_t>(count);
 }
 
 std::size_t Members::AliveBefore(Instant aNow) const
 {
   auto count = std::ranges::count_if(mMembers, [&](const auto& aEntry) {
-    return aEntry.first < mSelfAddress && aNow - aEntry.second.mReceivedAt < mTimeout;
+    return aEntry.first < mSelfAddress && IsAlive(aEntry.second, aNow);
   });
   return static_cast<std::size_t>(count);
 }
@@ -133,7 +132,7 @@
 {
   std::vector<const Member*> alive;
   for (const auto& [address, member] : mMembers) {
-    if (aNow - member.mReceivedAt < mTimeout) {
+    if (IsAlive(member, aNow)) {
       alive.push_back(&member);
     }
   }
--- a/src/decide/member.h
+++ b/src/decide/member.h
@@ -132,6 +132,10 @@
                                            std::size_t aMost) const;
 
 private:
+  bool IsAlive(const Member& aMember, Instant aNow) const
+  {
+    return aNow - aMember.mReceivedAt < mTimeout;
+  }
   void PutAddress(const std::string& aAddress, const std::string& aDataCentre);
   std::vector<std::string> RingTargets() const;
 
--- a/src/decide/stop.h
+++ b/src/decide/stop.h
@@ -25,7 +25,6 @@
 public:
   // aEnd: when the process ends at the latest.
   void Begin(Instant aEnd) { mEnd = aEnd; }
-  bool HasBegun() const { return mEnd.has_value(); }
 
   // The end of a wait that lasts until aUntil if there is no stop.
   Instant Limit(StopWait aWait, Instant aUntil) const
--- a/src/entry/backend.cc
+++ b/src/entry/backend.cc
@@ -44,12 +44,6 @@
 
 } // namespace
 
-std::chrono::milliseconds BackendClient::TimeLeft(const Exchange& aExchange) const
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-    mCore.DeadlineOf(aExchange) - mCore.Now());
-}
-
 void BackendClient::KeepIdle(const BackendTarget& aTarget, ConnectionPtr aConnection)
 {
   mCore.mIdle.Keep({ aTarget.mName, aTarget.mAddress, aTarget.mHasLeft },
@@ -96,7 +90,7 @@
                                             bool aOrder)
 {
   ConnectionPtr connection = co_await Connect(aTarget, aReuse);
-  AttemptMetadata metadata{ aTarget.mName, TimeLeft(aExchange), aOrder };
+  AttemptMetadata metadata{ aTarget.mName, mCore.TimeLeft(aExchange), aOrder };
   if (metadata.mTimeLeft.count() <= 0 || aExchange.CallerDisconnected()) {
     KeepIdle(aTarget, std::move(connection));
     throw base::RequestError(Result::DeadlineBeforeStart);
@@ -162,7 +156,7 @@
     if (skipped == kMaxSkippedAnswers) {
       break;
     }
-    response = co_await aConnection.ReadNext(TimeLeft(aExchange) + kAnswerGrace);
+    response = co_await aConnection.ReadNext(mCore.TimeLeft(aExchange) + kAnswerGrace);
     answer = mFormat.FromServer(std::move(response));
   }
   co_return answer;
--- a/src/entry/backend.h
+++ b/src/entry/backend.h
@@ -75,7 +75,6 @@
                                             const AttemptMetadata& aMetadata) const;
   Awaitable<ConnectionPtr> Connect(BackendTarget aTarget, ConnectionReuse aReuse);
   void KeepIdle(const BackendTarget& aTarget, ConnectionPtr aConnection);
-  std::chrono::milliseconds TimeLeft(const Exchange& aExchange) const;
 
   Core& mCore;
   const Format& mFormat;
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -213,6 +213,12 @@
   {
     return mStop.Limit(decide::StopWait::Start, aExchange.mDeadline);
   }
+  // Time until then; not above zero once it has passed.
+  std::chrono::milliseconds TimeLeft(const Exchange& aExchange) const
+  {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(DeadlineOf(aExchange) -
+                                                                 Now());
+  }
 
   // Ends the waits of requests that a planned stop no longer allows.
   void EndOverdueWaits();
--- a/src/entry/forward.cc
+++ b/src/entry/forward.cc
@@ -106,8 +106,7 @@
   request.set_target(aExchange.mTarget);
   request.set_content_type(aExchange.mContentType);
   request.set_body(aExchange.mBody);
-  auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-    mCore.DeadlineOf(aExchange) - mCore.Now());
+  std::chrono::milliseconds left = mCore.TimeLeft(aExchange);
   if (left.count() <= 0) {
     throw RequestError(Result::DeadlineBeforeStart);
   }
--- a/tests/unit/daemon.cc
+++ b/tests/unit/daemon.cc
@@ -290,6 +290,23 @@
   }
 };
 
+// Closes the peer servers of instances while aRunUntil runs them, because peer calls in
+// flight complete there. aRunUntil: runs all until a condition holds.
+template<typename RunUntil>
+void ClosePeerServers(std::vector<std::unique_ptr<FollowingInstance>>& aInstances,
+                      RunUntil aRunUntil)
+{
+  bool closed = false;
+  std::thread closer([&] {
+    for (auto& instance : aInstances) {
+      instance->mInstance.mPeerServer.Close();
+    }
+    asio::post(aInstances[0]->mInstance.mContext, [&] { closed = true; });
+  });
+  aRunUntil([&] { return closed; });
+  closer.join();
+}
+
 // Three instances of one data centre. The first has the lowest address.
 struct InstanceTrio
 {
@@ -352,15 +369,7 @@
   ~InstanceTrio()
   {
     mFrozen.clear();
-    bool closed = false;
-    std::thread closer([&] {
-      for (auto& instance : mInstances) {
-        instance->mInstance.mPeerServer.Close();
-      }
-      asio::post(mInstances[0]->mInstance.mContext, [&] { closed = true; });
-    });
-    RunUntil([&] { return closed; });
-    closer.join();
+    ClosePeerServers(mInstances, [this](auto aCondition) { RunUntil(aCondition); });
   }
 };
 
@@ -420,15 +429,7 @@
 
   ~SmallSite()
   {
-    bool closed = false;
-    std::thread closer([&] {
-      for (auto& instance : mInstances) {
-        instance->mInstance.mPeerServer.Close();
-      }
-      asio::post(mInstances[0]->mInstance.mContext, [&] { closed = true; });
-    });
-    RunUntil([&] { return closed; }, 60s);
-    closer.join();
+    ClosePeerServers(mInstances, [this](auto aCondition) { RunUntil(aCondition, 60s); });
   }
 };
 
--- a/tests/unit/entry_forward.cc
+++ b/tests/unit/entry_forward.cc
@@ -1,6 +1,8 @@
 // Unit tests of what callers get for the replies of other instances.
 #include <doctest/doctest.h>
 
+#include <thread>
+
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 
@@ -17,6 +19,7 @@
 
 constexpr const char* kPeerAddress = "127.0.0.1:28771";
 constexpr auto kSilence = 1500ms;
+constexpr auto kRetryInterval = 20ms;
 constexpr int kMaxTries = 200; // until the channel to the peer is connected
 
 // A peer that replies to each forwarded request with mReply.
@@ -97,8 +100,7 @@
   {
     mPeer.mReply = Reply(0, 200);
     for (int i = 0; i < kMaxTries && Order().mResult != Result::Ok; ++i) {
-      mContext.restart();
-      mContext.run_for(20ms);
+      std::this_thread::sleep_for(kRetryInterval); // the connection is made meanwhile
     }
     mPeer.mReply = aReply;
     unsigned before = mPeer.mRequests;
--- a/tests/unit/entry_stop.cc
+++ b/tests/unit/entry_stop.cc
@@ -126,6 +126,18 @@
   }
 };
 
+// Serves a request that has to wait, and stops. Returns its outcome.
+std::optional<decide::Outcome> OutcomeInStop(StoppingInstance& aInstance,
+                                             Pipeline& aPipeline,
+                                             const std::string& aTarget)
+{
+  std::optional<decide::Outcome> waiting;
+  aInstance.Serve(aPipeline, aTarget, waiting);
+  REQUIRE_FALSE(waiting);
+  CHECK(aInstance.StopUntil([&] { return waiting.has_value(); }));
+  return waiting;
+}
+
 bool IsTrueRefusal(const std::optional<decide::Outcome>& aOutcome)
 {
   return aOutcome && base::InfoOf(aOutcome->mResult).mStatus == 503 &&
@@ -175,11 +187,7 @@
   instance.OwnServer();
   auto taken = instance.mAdmission.TakeSlot(decide::ServiceId(0), decide::Origin::Local);
   REQUIRE(taken);
-  std::optional<decide::Outcome> waiting;
-  instance.Serve(pipeline, "/open", waiting);
-  REQUIRE_FALSE(waiting);
-  CHECK(instance.StopUntil([&] { return waiting.has_value(); }));
-  CHECK(IsTrueRefusal(waiting));
+  CHECK(IsTrueRefusal(OutcomeInStop(instance, pipeline, "/open")));
 }
 
 // Guards against the same failure, and against a refusal by the rate (429) that only the
@@ -188,11 +196,7 @@
 {
   StoppingInstance instance;
   Pipeline pipeline(instance.mCore, instance.mAdmission, instance.mBackend);
-  std::optional<decide::Outcome> waiting;
-  instance.Serve(pipeline, "/shop", waiting);
-  REQUIRE_FALSE(waiting);
-  CHECK(instance.StopUntil([&] { return waiting.has_value(); }));
-  CHECK(IsTrueRefusal(waiting));
+  CHECK(IsTrueRefusal(OutcomeInStop(instance, pipeline, "/shop")));
 }
 
 // Guards against the end of a request that has arrived in part without a word.
