Stop: a wait for tokens that only the stop ended is refused with 503, not 429

What callers saw: 429 for a request within its own time, when its instance stopped.

Cause: a wait for tokens ends with the last pause that fits, up to 20 ms before its limit, and Pipeline::CutByStop asked the clock whether the limit of the stop had passed.

The unit test saw the limit passed, because its clock advances in steps of 20 ms.

Change: the request's own limit is compared with that of the stop.

--- a/src/entry/pipeline.cc
+++ b/src/entry/pipeline.cc
@@ -126,12 +126,12 @@
   return notRun ? aCode : Result::OutcomeUnknown;
 }
 
-// Returns whether only the planned stop ended the wait of a request for tokens or for its
-// start. Its own time may have sufficed, at another instance as well.
+// Returns whether only the planned stop ended the wait of a request for its start. Its own
+// time may have sufficed, at another instance as well.
 bool Pipeline::CutByStop(const Exchange& aExchange, Result aCode) const
 {
-  bool waited = aCode == Result::RateExceeded || aCode == Result::DeadlineBeforeStart;
-  return waited && mCore.mStop.IsOver(decide::StopWait::Start, mCore.Now()) &&
+  return aCode == Result::DeadlineBeforeStart &&
+         mCore.mStop.IsOver(decide::StopWait::Start, mCore.Now()) &&
          mCore.Now() < aExchange.mDeadline;
 }
 
@@ -282,6 +282,9 @@
       break;
     }
     if (aExchange.mConfig == mCore.Config()) {
+      if (mCore.mStop.Limit(decide::StopWait::Start, until) < until) {
+        throw RequestError(Result::NotReady); // another instance may have tokens in time
+      }
       bool elsewhere = mAdmission.mTokens.OthersMaySpare(budget);
       aExchange.mTokensElsewhere = elsewhere;
       mCore.mMetrics.CountLimitRefusal(elsewhere);
