Stop: a frozen peer no longer holds the process beyond its grace period

What was seen: the process ended 6.5 s after SIGTERM, past grace_s, if a peer froze from 0.1 s before the SIGTERM to 5 s after it.

Cause: peer::Server::Close waits up to 1 s for each peer's confirmation, after the stop's own time. No limit of the stop covered it.

Change: decide::PlannedStop limits the end of the process too (StopWait::Delivery), and Close gets what is left. Calls to peers end for good (EndCalls): a row of questions to frozen holders of tokens began a new call after each cancelled one. Peers that wait here for news wait no longer than the service.

--- a/src/daemon/instance.cc
+++ b/src/daemon/instance.cc
@@ -120,8 +120,9 @@
   asio::signal_set reloadSignals(mContext, SIGHUP);
   std::thread closer;
   auto onStopped = [&](const std::exception_ptr&) {
-    closer = std::thread([&] {
-      mPeerServer.Close();
+    Duration left = mCore.mStop.Left(decide::StopWait::Delivery, mCore.Now());
+    closer = std::thread([this, left] {
+      mPeerServer.Close(std::chrono::floor<std::chrono::milliseconds>(left));
       mContext.stop();
     });
   };
--- a/src/decide/stop.h
+++ b/src/decide/stop.h
@@ -12,41 +12,55 @@
 using base::Duration;
 using base::Instant;
 
-// What the requests that an instance holds may wait for.
+// What a stopping instance may wait for.
 enum class StopWait : std::uint8_t
 {
   Arrival, // of the rest of a request
-  Start,   // at a backend server: for capacity, tokens or memory, or before a retry
-  Answer   // of a backend server or of a peer
+  Start,   // at a backend server: for a connection, capacity, tokens or memory, or before
+           // a retry
+  Answer,  // of a backend server or of a peer
+  Handler, // any wait of a request that the limits above did not end
+  Delivery // of answers to callers and peers, before the process ends
 };
 
 class PlannedStop
 {
 public:
-  // aEnd: when the process ends at the latest.
+  // aEnd: until when requests are served. The process ends a little later at most, see
+  // StopWait::Delivery.
   void Begin(Instant aEnd) { mEnd = aEnd; }
+  // Ends the service before that, since nothing is left to serve. Needs Begin.
+  void EndService(Instant aNow) { mEnd = std::min(*mEnd, aNow); }
+  bool HasBegun() const { return mEnd.has_value(); }
 
   // The end of a wait that lasts until aUntil if there is no stop.
   Instant Limit(StopWait aWait, Instant aUntil) const
   {
-    return mEnd ? std::min(aUntil, *mEnd - MarginOf(aWait)) : aUntil;
+    return mEnd ? std::min(aUntil, LimitOf(aWait)) : aUntil;
   }
   // True if nothing may wait for this any more.
   bool IsOver(StopWait aWait, Instant aNow) const
   {
-    return mEnd && aNow >= *mEnd - MarginOf(aWait);
+    return mEnd && aNow >= LimitOf(aWait);
+  }
+  // Time until then; zero once it has passed. Needs Begin.
+  Duration Left(StopWait aWait, Instant aNow) const
+  {
+    return std::max(LimitOf(aWait) - aNow, Duration::zero());
   }
 
 private:
-  // Time between the end of a wait and that of the process, by StopWait. A refusal needs
-  // time to reach its caller. The last answers that arrive are passed on at once.
-  static Duration MarginOf(StopWait aWait)
+  // By StopWait: the end of a wait relative to that of the service. A refusal needs time
+  // to reach its caller. The last answers that arrive are passed on at once.
+  Instant LimitOf(StopWait aWait) const
   {
     using std::chrono::milliseconds;
-    constexpr std::array kMargins = { milliseconds(200),
-                                      milliseconds(200),
-                                      milliseconds(50) };
-    return kMargins.at(static_cast<std::size_t>(aWait));
+    constexpr std::array kLimits = { milliseconds(-200),
+                                     milliseconds(-200),
+                                     milliseconds(-50),
+                                     milliseconds(0),
+                                     milliseconds(250) };
+    return *mEnd + kLimits.at(static_cast<std::size_t>(aWait));
   }
 
   std::optional<Instant> mEnd;
--- a/src/entry/core.cc
+++ b/src/entry/core.cc
@@ -260,7 +260,7 @@
 {
   mWaits.EndOverdue(mStop, Now());
   if (mStop.IsOver(decide::StopWait::Answer, Now())) {
-    mPeers.CancelCalls();
+    mPeers.EndCalls();
   }
 }
 
--- a/src/entry/replication.cc
+++ b/src/entry/replication.cc
@@ -178,7 +178,8 @@
     co_return reply;
   }
   auto wait = std::min(peer::TimeFromWire(aRequest.wait_ms()), kMaxItemsWait);
-  co_await mCore.mReplicaNews[aRequest.part()].Wait(mCore.mContext, wait);
+  Instant until = mCore.mStop.Limit(decide::StopWait::Handler, mCore.Now() + wait);
+  co_await mCore.mReplicaNews[aRequest.part()].Wait(mCore.mContext, until - mCore.Now());
   reply = BuildItemsReply(aRequest);
   auto waited = std::chrono::floor<std::chrono::milliseconds>(mCore.Now() - arrivedAt);
   reply.set_waited_ms(static_cast<std::uint64_t>(waited.count()));
--- a/src/peer/peer.cc
+++ b/src/peer/peer.cc
@@ -27,7 +27,6 @@
 
 constexpr int kMinReconnectBackoffMs = 100;
 constexpr int kMaxReconnectBackoffMs = 1000;
-constexpr std::chrono::seconds kShutdownTimeout{ 1 };
 constexpr int kMaxServerThreads = 4;
 constexpr std::uint64_t kMaxWireMilliseconds = 24ULL * 3600 * 1000;
 
@@ -180,9 +179,9 @@
 
 Server::~Server() = default;
 
-void Server::Close()
+void Server::Close(std::chrono::milliseconds aTimeout)
 {
-  mServer->Shutdown(std::chrono::system_clock::now() + kShutdownTimeout);
+  mServer->Shutdown(std::chrono::system_clock::now() + aTimeout);
 }
 
 Client::Client(asio::io_context& aContext)
@@ -197,8 +196,9 @@
   mPending->AwaitAll();
 }
 
-void Client::CancelCalls()
+void Client::EndCalls()
 {
+  mEnded = true;
   mPending->CancelAll();
 }
 
@@ -246,6 +246,9 @@
                               std::chrono::milliseconds aTimeout,
                               Method aMethod)
 {
+  if (mEnded) {
+    throw PeerError(false, "calls to peers have ended");
+  }
   PeerPtr peer = FindOrCreatePeer(aAddress);
   if (peer->mChannel->GetState(true) != GRPC_CHANNEL_READY) {
     throw PeerError(false, "not connected to " + aAddress);
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -57,6 +57,9 @@
 
 // Server for the calls of peers. The address is bound exclusively, so a successful bind
 // proves that the previous process at the address has ended.
+// Longest time for the calls in flight when a server closes.
+constexpr std::chrono::milliseconds kShutdownTimeout{ 1000 };
+
 class Server
 {
 public:
@@ -66,10 +69,10 @@
          const std::string& aAddress);
   ~Server();
 
-  // Rejects new calls and waits for the calls in flight, which are cancelled after the
-  // shutdown timeout. Blocks, so it must be called on a thread of its own while the
-  // io_context still runs, because calls in flight complete there.
-  void Close();
+  // Rejects new calls and waits for the calls in flight, which are cancelled after
+  // aTimeout. Blocks, so it must be called on a thread of its own while the io_context
+  // still runs, because calls in flight complete there.
+  void Close(std::chrono::milliseconds aTimeout = kShutdownTimeout);
 
 private:
   class Service;
@@ -93,8 +96,9 @@
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
 
-  // Cancels the calls in flight, which then throw PeerError.
-  void CancelCalls();
+  // Cancels the calls in flight, which then throw PeerError. Calls that begin later throw
+  // it at once, since they are not sent.
+  void EndCalls();
 
   // All calls throw PeerError.
   Awaitable<wire::BeatReply> Beat(std::string aAddress,
@@ -137,6 +141,7 @@
   boost::asio::io_context& mContext;
   std::shared_ptr<PendingCalls> mPending;
   std::map<std::string, PeerPtr> mPeers; // by address
+  bool mEnded = false;                   // by EndCalls
 };
 
 } // namespace vanillaloft::peer
