Stop: the end of a stop waits for its last answers

Cause: the margin stood on timers. At the end the process left its loop, whatever was still to be written. A connection to a server, the caller's reading of its last answer and a request behind another one on its connection had no limit or were not waited for.

At the end of the service the listener answers what any handler still holds with 504. Connecting is a registered wait; pipelined requests that have arrived are answered. The log names held requests by id, what they wait for, and what became of each answer (7003 to 7005).

--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -126,6 +126,17 @@
   EventInfo{ Event::RequestBroken,
              "request-broken",
              "An unexpected error ended a request; the text gives the error." },
+  EventInfo{ Event::RequestHeld,
+             "request-held",
+             "A request that the instance held when a planned stop began; the text gives "
+             "what it waited for." },
+  EventInfo{ Event::RequestCut,
+             "request-cut",
+             "The service of a planned stop ended before the wait of a request; its "
+             "caller gets 504." },
+  EventInfo{ Event::AnswerWritten,
+             "answer-written",
+             "In a planned stop, an answer was written to its caller, or could not be." },
   EventInfo{ Event::MemoryFull,
              "memory-full",
              "Requests or answers that made the least progress for their bytes were "
--- a/src/daemon/instance.cc
+++ b/src/daemon/instance.cc
@@ -82,7 +82,8 @@
   , mLookUps(mCore)
   , mRelay(mCore, mPipeline, mAdmission.mTokens)
   , mListener(mCore, aFormat)
-  , mLoops(mCore, mAdmission, mBackend, mLookUps, mRelay, mListener, *mStore)
+  , mLoops(mCore, mAdmission, mBackend, mLookUps, mRelay, *mStore)
+  , mStopper(mCore, mLookUps, mListener, mLoops)
   , mPeerServer(mContext, mRelay, aSettings.mPeerAddress)
 {
   AddSeeds(mCore.mMembers, aSettings.mSeeds);
@@ -127,7 +128,7 @@
     });
   };
   stopSignals.async_wait([&](const boost::system::error_code&, int) {
-    asio::co_spawn(mContext, mLoops.Stop(), onStopped);
+    asio::co_spawn(mContext, mStopper.Run(), onStopped);
   });
   AwaitReload(reloadSignals, aOnReload);
   ChangeSignalMask(SIG_UNBLOCK);
--- a/src/daemon/instance.h
+++ b/src/daemon/instance.h
@@ -8,6 +8,7 @@
 
 #include "base/clock.h"
 #include "daemon/loops.h"
+#include "daemon/stop.h"
 #include "entry/direct.h"
 #include "entry/listener.h"
 #include "entry/native.h"
@@ -52,6 +53,7 @@
   entry::Relay mRelay;
   entry::Listener mListener;
   Loops mLoops;
+  Stopper mStopper;
   peer::Server mPeerServer;
 
 private:
--- a/src/daemon/loops.cc
+++ b/src/daemon/loops.cc
@@ -15,7 +15,6 @@
 namespace {
 
 constexpr Duration kTickInterval = std::chrono::milliseconds(100);
-constexpr Duration kEndingTickInterval = std::chrono::milliseconds(20);
 constexpr Duration kProbeInterval = std::chrono::milliseconds(500);
 constexpr std::chrono::milliseconds kWatchTimeout{ 2000 };
 constexpr Duration kStoreRetryInterval =
@@ -369,58 +368,4 @@
   }
 }
 
-Duration Loops::LongestLookUpTtl() const
-{
-  Duration longest{};
-  for (std::size_t i = 0; mCore.Config() && i < mCore.Config()->mProfiles.size(); ++i) {
-    longest = std::max(longest, mCore.Config()->mProfiles[i].mLookUpTtl);
-  }
-  return longest;
-}
-
-// Returns the time until which a stopping instance accepts new requests. Until then
-// callers use cached look-up answers, and peers return this instance in look-ups until
-// they learn from its heartbeat that it is leaving.
-Instant Loops::AcceptDeadline() const
-{
-  Duration acceptPeriod = mCore.mSettings.mStopAcceptPeriod;
-  if (acceptPeriod == Duration::zero()) {
-    acceptPeriod = LongestLookUpTtl() + mCore.mSettings.mMemberTimeout;
-  }
-  return mCore.Now() + std::min(acceptPeriod, mCore.mSettings.mStopTimeout);
-}
-
-// The last waits end little before the process, so the ticks are short by then.
-Awaitable<void> Loops::TickStop()
-{
-  bool ending = mCore.mStop.IsOver(decide::StopWait::Start, mCore.Now() + kTickInterval);
-  co_await mCore.Sleep(ending ? kEndingTickInterval : kTickInterval);
-  mCore.EndOverdueWaits();
-}
-
-Awaitable<void> Loops::Stop()
-{
-  Log(spdlog::level::info, Event::Stopping, "");
-  mCore.mLeaving = true;
-  mLookUps.Rebuild();
-  SendHeartbeats();
-  Instant stopDeadline = mCore.Now() + mCore.mSettings.mStopTimeout;
-  mCore.mStop.Begin(stopDeadline);
-  Instant acceptDeadline = AcceptDeadline();
-  while (mCore.Now() < acceptDeadline ||
-         (mCore.mLedger.HasUnexpired(mCore.Now()) && mCore.Now() < stopDeadline)) {
-    co_await TickStop();
-  }
-  mCore.mStopped = true;
-  mListener.StopAccepting();
-  Spawn(mCore.mContext, "release-shares", ReleaseShares());
-  TellPeers();
-  do {
-    co_await TickStop();
-  } while ((mCore.mRequestsInFlight > 0 || mListener.HasUnanswered()) &&
-           mCore.Now() < stopDeadline);
-  mListener.CloseIdle();
-  Log(spdlog::level::info, Event::Stopped, "");
-}
-
 } // namespace vanillaloft::daemon
--- a/src/daemon/loops.h
+++ b/src/daemon/loops.h
@@ -9,7 +9,6 @@
 #include "entry/admission.h"
 #include "entry/backend.h"
 #include "entry/core.h"
-#include "entry/listener.h"
 #include "entry/lookup.h"
 #include "entry/relay.h"
 #include "store/store.h"
@@ -29,14 +28,12 @@
         entry::BackendClient& aBackend,
         entry::LookupHandler& aLookUps,
         entry::Relay& aRelay,
-        entry::Listener& aListener,
         store::Store& aStore)
     : mCore(aCore)
     , mAdmission(aAdmission)
     , mBackend(aBackend)
     , mLookUps(aLookUps)
     , mRelay(aRelay)
-    , mListener(aListener)
     , mStore(aStore)
   {
   }
@@ -51,14 +48,13 @@
   // Starts all loops on the core's io_context.
   void Start(ConfigSource aConfigSource);
 
-  // Performs the planned stop: look-ups no longer return this instance; it serves until
-  // cached look-up answers and tickets have expired and each request that has arrived is
-  // answered, and releases its shares. The stop timeout limits each of these waits.
-  Awaitable<void> Stop();
+  // Sends heartbeats to all peers at once, e.g. because the status of this instance
+  // changed.
+  void TellPeers();
+  // Returns this instance's shares to the store.
+  Awaitable<void> ReleaseShares();
 
 private:
-  // Waits for a short time and ends what the stop no longer allows.
-  Awaitable<void> TickStop();
   struct LoopRow
   {
     const char* mName;
@@ -71,19 +67,15 @@
   Awaitable<void> HeartbeatLoop();
   Awaitable<void> SendHeartbeat(std::string aAddress);
   void SendHeartbeats();
-  void TellPeers();
   Awaitable<void> ProbeLoop();
   Awaitable<void> ProbeServer(std::string aServer, base::HostPort aAddress);
   Awaitable<void> WatchConfigLoop();
   Awaitable<void> ApplyStoredConfig(store::Value aValue);
   Awaitable<void> RenewSharesLoop();
   Awaitable<bool> RenewSharesOnce();
-  Awaitable<void> ReleaseShares();
   Awaitable<void> ReadInstancesLoop();
   Awaitable<void> AnnounceLoop();
   Awaitable<void> LogStoreCallsLoop();
-  Duration LongestLookUpTtl() const;
-  Instant AcceptDeadline() const;
   void LogLostPeers();
 
   entry::Core& mCore;
@@ -91,7 +83,6 @@
   entry::BackendClient& mBackend;
   entry::LookupHandler& mLookUps;
   entry::Relay& mRelay;
-  entry::Listener& mListener;
   store::Store& mStore;
   decide::ShareClaim mClaim;
   std::set<std::string> mAlivePeers;
--- a/src/entry/admission.cc
+++ b/src/entry/admission.cc
@@ -29,8 +29,8 @@
     throw base::RequestError(Result::QueueFull);
   }
   mWaiters[id] = &waiter;
-  WaitRegistry::Registration wait(
-    mCore.mWaits, decide::StopWait::Start, [&] { waiter.mTimer.cancel(); });
+  WaitRegistration wait(mCore.mWaits,
+                        { decide::StopWait::Start, [&] { waiter.mTimer.cancel(); } });
   ServeWaiters();
   if (!waiter.mSlot) {
     boost::system::error_code cancelled;
--- a/src/entry/backend.cc
+++ b/src/entry/backend.cc
@@ -53,18 +53,24 @@
 Awaitable<BackendClient::ConnectionPtr> BackendClient::Connect(BackendTarget aTarget,
                                                                ConnectionReuse aReuse)
 {
-  ConnectionPtr connection;
   if (aReuse == ConnectionReuse::Allowed) {
-    connection = mCore.mIdle.Take(aTarget.mName, aTarget.mAddress);
-  }
-  if (!connection) {
-    connection = std::make_unique<net::Connection>(mCore.mContext.get_executor());
-    try {
-      co_await connection->Connect(aTarget.mAddress, kConnectTimeout);
-    } catch (const net::CallError&) {
-      throw base::RequestError(Result::NotConnected);
+    if (auto idle = mCore.mIdle.Take(aTarget.mName, aTarget.mAddress)) {
+      co_return idle;
     }
   }
+  auto connection = std::make_unique<net::Connection>(mCore.mContext.get_executor());
+  bool cutByStop = false;
+  auto endWait = [&] {
+    cutByStop = true;
+    connection->Close();
+  };
+  WaitRegistration wait(mCore.mWaits, { decide::StopWait::Start, endWait });
+  try {
+    co_await connection->Connect(aTarget.mAddress, kConnectTimeout);
+  } catch (const net::CallError&) {
+    throw base::RequestError(cutByStop ? Result::DeadlineBeforeStart
+                                       : Result::NotConnected);
+  }
   co_return connection;
 }
 
@@ -89,6 +95,7 @@
                                             ConnectionReuse aReuse,
                                             bool aOrder)
 {
+  aExchange.mStep = ServeStep::Connection;
   ConnectionPtr connection = co_await Connect(aTarget, aReuse);
   AttemptMetadata metadata{ aTarget.mName, mCore.TimeLeft(aExchange), aOrder };
   if (metadata.mTimeLeft.count() <= 0 || aExchange.CallerDisconnected()) {
@@ -103,10 +110,12 @@
   std::optional<Failure> failure;
   connection->SetReadBudget(aExchange.HeldBy());
   bool cutByStop = false;
-  WaitRegistry::Registration wait(mCore.mWaits, decide::StopWait::Answer, [&] {
+  auto endWait = [&] {
     cutByStop = true;
     connection->Close();
-  });
+  };
+  WaitRegistration wait(mCore.mWaits, { decide::StopWait::Answer, endWait });
+  aExchange.mStep = ServeStep::Answer;
   try {
     answer = co_await SendAndReadAnswer(aExchange, *connection, metadata);
   } catch (const net::CallError& error) {
--- a/src/entry/core.cc
+++ b/src/entry/core.cc
@@ -258,12 +258,28 @@
 // A call to a peer that is cancelled may have arrived there, and its request is told so.
 void Core::EndOverdueWaits()
 {
-  mWaits.EndOverdue(mStop, Now());
+  EndOverdue(mWaits, mStop, Now());
   if (mStop.IsOver(decide::StopWait::Answer, Now())) {
     mPeers.EndCalls();
   }
 }
 
+void Core::LogHeldRequests() const
+{
+  using std::chrono::milliseconds;
+  for (const Exchange* exchange : mHeld.All()) {
+    base::Log(
+      spdlog::level::info,
+      base::Event::RequestHeld,
+      "request={} for_peer={} waits_for={} held_ms={} left_ms={}",
+      exchange->mRequestId,
+      exchange->mCaller == nullptr,
+      kServeStepNames.at(static_cast<std::size_t>(exchange->mStep)),
+      std::chrono::duration_cast<milliseconds>(Now() - exchange->mArrival).count(),
+      TimeLeft(*exchange).count());
+  }
+}
+
 Awaitable<void> Core::Sleep(Duration aTime)
 {
   boost::asio::steady_timer timer(mContext, aTime);
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -175,6 +175,10 @@
   std::array<prometheus::Counter*, store::kCallKindNames.size()> mStoreCalls{};
 };
 
+// The requests that the instance serves, also for peers. A planned stop waits for their
+// ends.
+using HeldRequests = Registry<const Exchange*>;
+
 class Core
 {
 public:
@@ -222,6 +226,8 @@
 
   // Ends the waits of requests that a planned stop no longer allows.
   void EndOverdueWaits();
+  // Logs the requests that are held and what each waits for.
+  void LogHeldRequests() const;
 
   // Waits on a timer of the I/O context, not on mClock.
   Awaitable<void> Sleep(Duration aTime);
@@ -303,7 +309,7 @@
   decide::StorePath mStorePath;
   decide::StoreReturn mStoreReturn;
   bool mStoreAvailable = false;
-  unsigned mRequestsInFlight = 0;
+  HeldRequests mHeld;
   std::size_t mRequestsWaiting = 0;       // for free capacity
   std::uint64_t mEndedForDescriptors = 0; // connections that ended at their limit
 
@@ -317,24 +323,6 @@
   Instant mFirstConfigAt{};
 };
 
-// Counts a request as in flight during its life, so that a planned stop can wait for its
-// end.
-class InFlightGuard
-{
-public:
-  explicit InFlightGuard(Core& aCore)
-    : mCore(aCore)
-  {
-    ++mCore.mRequestsInFlight;
-  }
-  InFlightGuard(const InFlightGuard&) = delete;
-  InFlightGuard& operator=(const InFlightGuard&) = delete;
-  ~InFlightGuard() { --mCore.mRequestsInFlight; }
-
-private:
-  Core& mCore;
-};
-
 // The groups of a routed request. Its caller's data centre is that of its address, or of
 // this instance if no block of the configuration contains the address.
 decide::RequestGroups GroupsOf(const Exchange& aExchange, const Core& aCore);
--- a/src/entry/direct.cc
+++ b/src/entry/direct.cc
@@ -221,6 +221,7 @@
 {
   using Step = decide::Dispatcher::Step;
   mResolver.ResolveIfStale(aExchange);
+  aExchange.mStep = ServeStep::Capacity;
   auto number = mDispatcher.NextNumber();
   for (;;) {
     decide::PlacementRequest request = RequestOf(aExchange, aAttempts);
--- a/src/entry/dump.cc
+++ b/src/entry/dump.cc
@@ -97,7 +97,7 @@
   state["pool_held"] = aCore.mShares.HoldsPool(now);
   state["floor_held"] = aCore.mShares.HoldsFloor(now);
   state["orders_remembered"] = aCore.mLedger.Size();
-  state["requests_running"] = aCore.mRequestsInFlight;
+  state["requests_running"] = aCore.mHeld.All().size();
   state["requests_waiting"] = aCore.mRequestsWaiting;
   state["organisations_served_worst"] = GroupsJson(aCore.mGroups.Organisations(), now);
   state["data_centres_served_worst"] = GroupsJson(aCore.mGroups.DataCentres(), now);
@@ -130,7 +130,7 @@
   metrics.Gauge("vanillaloft_idle_connections").Set(double(aCore.mIdle.Size()));
   metrics.Gauge("vanillaloft_idle_connections_displaced")
     .Set(double(aCore.mIdle.Displaced()));
-  metrics.Gauge("vanillaloft_requests_running").Set(double(aCore.mRequestsInFlight));
+  metrics.Gauge("vanillaloft_requests_running").Set(double(aCore.mHeld.All().size()));
   metrics.Gauge("vanillaloft_requests_waiting").Set(double(aCore.mRequestsWaiting));
   metrics.Gauge("vanillaloft_log_lines_dropped").Set(double(base::DroppedLogLines()));
   Duration age = aCore.RegistrationsAge();
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -2,9 +2,11 @@
 #pragma once
 
 #include <algorithm>
+#include <array>
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "decide/config.h"
@@ -17,9 +19,25 @@
 using base::Duration;
 using base::Instant;
 
+// What a request that is served waits for.
+enum class ServeStep : std::uint8_t
+{
+  Routing, // for nothing
+  Tokens,
+  Capacity,
+  Connection, // to a backend server
+  Answer,     // of a backend server
+  Peer        // for its reply
+};
+
+constexpr std::array<std::string_view, 6> kServeStepNames = { "routing",  "tokens",
+                                                              "capacity", "connection",
+                                                              "answer",   "peer" };
+
 // The connection that a request arrived on. It exists while the request is served.
 struct CallerConnection
 {
+  std::string mRequestId;              // empty until the request is known
   Hold* mHold = nullptr;               // bytes of the request and its answer
   std::uint32_t mAddress = 0;          // IPv4, host byte order; 0 for others
   bool mDisconnected = false;          // the caller was seen to close the connection
@@ -61,6 +79,7 @@
   std::optional<bool> mTokensElsewhere;
   Instant mArrival{};
   Instant mDeadline{};
+  ServeStep mStep = ServeStep::Routing;
   Hold* mHold = nullptr;               // for requests from peers; see HeldBy
   CallerConnection* mCaller = nullptr; // null for requests from peers
   std::string mSendLog;                // each send and its result, for the log
--- a/src/entry/forward.cc
+++ b/src/entry/forward.cc
@@ -114,6 +114,7 @@
   request.set_ticket(aExchange.mTicket);
   request.set_order(aOrder);
   request.set_data_centre(mCore.mSettings.mDataCentre);
+  aExchange.mStep = ServeStep::Peer;
   peer::wire::ForwardReply reply;
   try {
     reply = co_await mCore.mPeers.Forward(aAddress, std::move(request), left);
--- a/src/entry/listener.cc
+++ b/src/entry/listener.cc
@@ -36,6 +36,7 @@
 // Longest time for a caller to read the last response and to close the connection.
 constexpr std::chrono::milliseconds kLingerTime{ 500 };
 constexpr std::size_t kLingerReadBytes = 4096;
+constexpr Duration kOverridePollInterval = std::chrono::milliseconds(5);
 // An idle connection is closed this much later than the configured idle time, which
 // callers are told, so that no request is in flight when the connection closes.
 constexpr Duration kIdleCloseMargin = std::chrono::seconds(2);
@@ -216,19 +217,25 @@
          (aSession.mParser && aSession.mParser->got_some());
 }
 
-bool Listener::IsBusy(Session& aSession) const
+bool Listener::HasMoreBytes(Session& aSession)
 {
   Error error;
+  return aSession.mBuffer.size() > 0 || aSession.mStream.socket().available(error) > 0;
+}
+
+bool Listener::IsBusy(Session& aSession) const
+{
   bool isNew =
     aSession.mRequests == 0 && mCore.Now() - aSession.mAcceptedAt < kFirstRequestTime;
   return aSession.mAnswering || HasPartialRequest(aSession) || isNew ||
-         aSession.mStream.socket().available(error) > 0;
+         HasMoreBytes(aSession);
 }
 
-bool Listener::HasUnanswered()
+bool Listener::HasUndelivered()
 {
-  return std::ranges::any_of(mSessions,
-                             [&](Session& aSession) { return IsBusy(aSession); });
+  return std::ranges::any_of(mSessions, [&](Session& aSession) {
+    return IsBusy(aSession) || aSession.mLingering;
+  });
 }
 
 void Listener::CloseIdle()
@@ -373,12 +380,13 @@
   aSession.mReadEnd = timer.expiry();
   aSession.mStream.expires_never();
   aSession.mParser = &parser;
-  WaitRegistry::Registration wait(mCore.mWaits, decide::StopWait::Arrival, [&] {
+  auto endWait = [&] {
     if (HasPartialRequest(aSession)) {
       aSession.mCutByStop = true;
       aSession.mStream.cancel();
     }
-  });
+  };
+  WaitRegistration wait(mCore.mWaits, { decide::StopWait::Arrival, endWait });
   net::HeadScanner head(net::MessageKind::Request);
   Error error = co_await ReadHead(aSession, headBytes, head);
   bool started = aSession.mBuffer.size() > 0;
@@ -463,6 +471,8 @@
   Socket& socket = aSession.mStream.socket();
   auto remote = socket.remote_endpoint(error).address();
   auto connection = std::make_shared<CallerConnection>();
+  aSession.mCaller = connection;
+  aSession.mHandling = true;
   connection->mAddress = remote.is_v4() ? remote.to_v4().to_uint() : 0;
   connection->mHold = &aSession.mHold;
   connection->mProbeClosed = [&socket] { return PeerHasClosed(socket); };
@@ -478,23 +488,82 @@
     outcome.mResult = Result::AnswerLost;
     response = mFormat.ToCaller(std::move(outcome));
   }
-  socket.cancel(error);
+  aSession.mHandling = false;
+  if (aSession.mOverride == Override::None) {
+    socket.cancel(error);
+  }
   co_return response;
 }
 
+void Listener::AnswerUnhandled()
+{
+  for (auto session = mSessions.begin(); session != mSessions.end(); ++session) {
+    if (!session->mHandling || session->mOverride != Override::None) {
+      continue;
+    }
+    base::Log(spdlog::level::warn,
+              base::Event::RequestCut,
+              "request={}",
+              session->mCaller->mRequestId);
+    session->mOverride = Override::Writing;
+    Spawn(mCore.mContext, "override-handler", OverrideHandler(session));
+  }
+}
+
+// The session stays until the handler has returned.
+Awaitable<void> Listener::OverrideHandler(std::list<Session>::iterator aSession)
+{
+  decide::Outcome outcome;
+  outcome.mResult = Result::AnswerTimeout;
+  net::Response response = mFormat.ToCaller(std::move(outcome));
+  response.keep_alive(false);
+  response.prepare_payload();
+  Error error = co_await WriteResponse(*aSession, response);
+  aSession->mAnswering = false;
+  if (!error) {
+    co_await Linger(*aSession);
+  }
+  aSession->mOverride = Override::Done;
+}
+
+Awaitable<void> Listener::AwaitOverride(const Session& aSession)
+{
+  while (aSession.mOverride == Override::Writing) {
+    co_await mCore.Sleep(kOverridePollInterval);
+  }
+}
+
+// Logs what became of an answer in a planned stop.
+void Listener::LogWritten(const Session& aSession,
+                          const net::Response& aResponse,
+                          const Error& aError) const
+{
+  if (mCore.mStop.HasBegun()) {
+    base::Log(spdlog::level::info,
+              base::Event::AnswerWritten,
+              "request={} status={} error={}",
+              aSession.mCaller ? aSession.mCaller->mRequestId : "",
+              aResponse.result_int(),
+              aError ? aError.message() : "none");
+  }
+}
+
 // Lets the caller read the last response. Bytes that the caller still sends are read and
 // dropped, because closing a connection with unread bytes resets it, and a reset discards
 // the response.
-Awaitable<void> Listener::Linger(Stream& aStream)
+Awaitable<void> Listener::Linger(Session& aSession)
 {
   Error error;
-  aStream.socket().shutdown(Socket::shutdown_send, error);
+  Stream& stream = aSession.mStream;
+  aSession.mLingering = true;
+  stream.socket().shutdown(Socket::shutdown_send, error);
   std::array<char, kLingerReadBytes> dropped;
-  aStream.expires_after(kLingerTime);
+  stream.expires_after(kLingerTime);
   while (!error) {
-    co_await aStream.async_read_some(asio::buffer(dropped),
-                                     asio::redirect_error(asio::use_awaitable, error));
+    co_await stream.async_read_some(asio::buffer(dropped),
+                                    asio::redirect_error(asio::use_awaitable, error));
   }
+  aSession.mLingering = false;
 }
 
 // Writes a response. Its caller's reading counts as progress.
@@ -511,6 +580,7 @@
       aSession.mStream, serializer, asio::redirect_error(asio::use_awaitable, error));
     aSession.mHold.RecordProgress(count);
   }
+  LogWritten(aSession, aResponse, error);
   co_return error;
 }
 
@@ -542,17 +612,22 @@
       aSession.mHold.EnterPhase(decide::HoldPhase::Serving);
       response = co_await HandleRequest(aSession, std::move(received.mRequest));
     }
-    keepAlive = keepAlive && !mCore.mLeaving;
+    if (aSession.mOverride != Override::None) {
+      co_await AwaitOverride(aSession);
+      co_return;
+    }
+    keepAlive = keepAlive && (!mCore.mLeaving || HasMoreBytes(aSession));
     response.keep_alive(keepAlive);
     response.prepare_payload();
     Error error = co_await WriteResponse(aSession, response);
+    aSession.mCaller.reset();
     aSession.mAnswering = false;
     if (error) {
       co_return;
     }
   }
   aSession.mHold.Reset();
-  co_await Linger(aSession.mStream);
+  co_await Linger(aSession);
 }
 
 Awaitable<void> Listener::ServeConnection(std::list<Session>::iterator aSession)
--- a/src/entry/listener.h
+++ b/src/entry/listener.h
@@ -50,10 +50,13 @@
   // Accepts the connections that are established already and closes the listening
   // sockets.
   void StopAccepting();
-  // True while a request that has arrived, also in part, has no complete response, and
-  // for a short time after a connection was accepted, because its request may be on the
-  // way.
-  bool HasUnanswered();
+  // True while a request that has arrived, also in part, has no complete response or its
+  // caller may still be reading it, and for a short time after a connection was accepted,
+  // because its request may be on the way.
+  bool HasUndelivered();
+  // Answers the requests whose handlers have not returned with 504, which promises
+  // nothing. What the handlers return later is dropped. For the end of a planned stop.
+  void AnswerUnhandled();
   // Closes all connections that have no request in progress.
   void CloseIdle();
 
@@ -70,6 +73,13 @@
     std::size_t mMaxSessions;
     std::size_t mSessions = 0; // open now
   };
+  // Whether a request is answered by AnswerUnhandled instead of its handler.
+  enum class Override : std::uint8_t
+  {
+    None,
+    Writing,
+    Done
+  };
   // An open connection.
   struct Session
   {
@@ -94,7 +104,11 @@
     const Parser* mParser = nullptr; // set while a request is read
     bool mAnswering = false;         // from the end of a request to that of its response
     bool mCutByStop = false;         // a planned stop ends the request that is read
-    unsigned mRequests = 0;          // read so far
+    bool mLingering = false;         // the last response is written, its caller reads it
+    Override mOverride = Override::None;
+    std::shared_ptr<CallerConnection> mCaller; // while a request is answered
+    bool mHandling = false;                    // its handler has not returned
+    unsigned mRequests = 0;                    // read so far
     Hold mHold;
   };
   // Result of reading one request.
@@ -121,8 +135,15 @@
   Awaitable<boost::system::error_code> WriteResponse(Session& aSession,
                                                      net::Response& aResponse);
   Awaitable<net::Response> HandleRequest(Session& aSession, net::Request aRequest);
-  static Awaitable<void> Linger(Stream& aStream);
+  Awaitable<void> OverrideHandler(std::list<Session>::iterator aSession);
+  Awaitable<void> AwaitOverride(const Session& aSession);
+  void LogWritten(const Session& aSession,
+                  const net::Response& aResponse,
+                  const boost::system::error_code& aError) const;
+  static Awaitable<void> Linger(Session& aSession);
   static bool HasPartialRequest(const Session& aSession);
+  // True if bytes have arrived that were not parsed yet, such as a pipelined request.
+  static bool HasMoreBytes(Session& aSession);
   bool IsBusy(Session& aSession) const;
 
   Core& mCore;
--- a/src/entry/pipeline.cc
+++ b/src/entry/pipeline.cc
@@ -91,7 +91,10 @@
 
 Awaitable<Outcome> Pipeline::Serve(Exchange aExchange)
 {
-  InFlightGuard inFlight(mCore);
+  HeldRequests::Registration held(mCore.mHeld, &aExchange);
+  if (aExchange.mCaller) {
+    aExchange.mCaller->mRequestId = aExchange.mRequestId;
+  }
   Outcome outcome;
   try {
     for (const FilterRow& row : kFilters) {
@@ -126,8 +129,8 @@
   return notRun ? aCode : Result::OutcomeUnknown;
 }
 
-// Returns whether only the planned stop ended the wait of a request for its start. Its own
-// time may have sufficed, at another instance as well.
+// Returns whether only the planned stop ended the wait of a request for its start. Its
+// own time may have sufficed, at another instance as well.
 bool Pipeline::CutByStop(const Exchange& aExchange, Result aCode) const
 {
   return aCode == Result::DeadlineBeforeStart &&
@@ -274,6 +277,7 @@
   if (aExchange.mOrganisation.IsNone()) {
     co_return;
   }
+  aExchange.mStep = ServeStep::Tokens;
   decide::BudgetId budget = BudgetOf(aExchange);
   Instant until =
     aExchange.mArrival + aExchange.mConfig->ProfileOf(aExchange.mService).mQueueTime;
@@ -420,6 +424,7 @@
   if (mayWait) {
     Duration queueTime = aExchange.mConfig->ProfileOf(aExchange.mService).mQueueTime;
     Instant until = std::min(mCore.Now() + queueTime, mCore.DeadlineOf(aExchange));
+    aExchange.mStep = ServeStep::Capacity;
     auto slot =
       co_await mAdmission.WaitForSlot(aExchange.mService, aExchange.mOrganisation, until);
     if (slot) {
--- a/src/entry/relay.cc
+++ b/src/entry/relay.cc
@@ -201,8 +201,8 @@
 
 Awaitable<wire::ForwardReply> Relay::OnForward(wire::ForwardRequest aRequest)
 {
-  InFlightGuard inFlight(mCore);
   Exchange exchange;
+  HeldRequests::Registration held(mCore.mHeld, &exchange);
   exchange.mRequestId = aRequest.request_id();
   exchange.mMethod = aRequest.method();
   exchange.mTarget = aRequest.target();
--- a/src/entry/waits.h
+++ b/src/entry/waits.h
@@ -3,61 +3,32 @@
 #pragma once
 
 #include <functional>
-#include <list>
-#include <memory>
-#include <utility>
 
 #include "decide/stop.h"
+#include "entry/registry.h"
 
 namespace vanillaloft::entry {
 
-class WaitRegistry
+// mEnd is called repeatedly once the wait is over; it must not destroy a registration.
+struct RequestWait
 {
-private:
-  struct Wait
-  {
-    decide::StopWait mFor;
-    std::function<void()> mEnd;
-  };
-  // Shared with the coroutines, which may be destroyed after this object at the end of
-  // the process.
-  using Waits = std::list<Wait>;
-  using WaitsPtr = std::shared_ptr<Waits>;
-
-public:
-  // Registers a wait during its life. aEnd is called repeatedly once the wait is over; it
-  // must not destroy a registration.
-  class Registration
-  {
-  public:
-    Registration(WaitRegistry& aRegistry,
-                 decide::StopWait aFor,
-                 std::function<void()> aEnd)
-      : mWaits(aRegistry.mWaits)
-      , mPosition(mWaits->insert(mWaits->end(), { aFor, std::move(aEnd) }))
-    {
-    }
-    ~Registration() { mWaits->erase(mPosition); }
-    Registration(const Registration&) = delete;
-    Registration& operator=(const Registration&) = delete;
+  decide::StopWait mFor;
+  std::function<void()> mEnd;
+};
 
-  private:
-    WaitsPtr mWaits;
-    Waits::iterator mPosition;
-  };
+using WaitRegistry = Registry<RequestWait>;
+using WaitRegistration = WaitRegistry::Registration;
 
-  // Ends the waits that the stop no longer allows.
-  void EndOverdue(const decide::PlannedStop& aStop, base::Instant aNow) const
-  {
-    for (const Wait& wait : *mWaits) {
-      if (aStop.IsOver(wait.mFor, aNow)) {
-        wait.mEnd();
-      }
+// Ends the waits that the stop no longer allows.
+inline void EndOverdue(const WaitRegistry& aWaits,
+                       const decide::PlannedStop& aStop,
+                       base::Instant aNow)
+{
+  for (const RequestWait& wait : aWaits.All()) {
+    if (aStop.IsOver(wait.mFor, aNow)) {
+      wait.mEnd();
     }
   }
-
-private:
-  WaitsPtr mWaits = std::make_shared<Waits>();
-};
+}
 
 } // namespace vanillaloft::entry
--- a/tests/unit/entry_listener.cc
+++ b/tests/unit/entry_listener.cc
@@ -61,8 +61,8 @@
     auto end = std::chrono::steady_clock::now() + 5s;
     do {
       mContext.run_for(50ms);
-    } while (mListener.HasUnanswered() && std::chrono::steady_clock::now() < end);
-    bool answered = !mListener.HasUnanswered();
+    } while (mListener.HasUndelivered() && std::chrono::steady_clock::now() < end);
+    bool answered = !mListener.HasUndelivered();
     mListener.CloseIdle();
     mContext.run_for(50ms);
     return answered;
@@ -104,13 +104,50 @@
   fixture.mContext.run_for(20ms);
   fixture.mCore.mLeaving = true;
   fixture.mListener.StopAccepting();
-  CHECK(fixture.mListener.HasUnanswered());
+  CHECK(fixture.mListener.HasUndelivered());
   asio::steady_timer timer(fixture.mContext, 100ms);
   timer.async_wait([&](boost::system::error_code) { Send(caller, kRequest); });
   CHECK(fixture.RunUntilAnswered());
   CHECK(ReadAll(caller).find("served") != std::string::npos);
 }
 
+// Guards against an end of the process that resets a connection whose caller has not read
+// the last answer yet.
+TEST_CASE("a stop waits until its last answers are read, for a short time")
+{
+  Fixture fixture;
+  Tcp::socket reader = fixture.Connect();
+  Tcp::socket other = fixture.Connect(); // keeps its side open
+  Send(reader, kRequest);
+  Send(other, kRequest);
+  fixture.mCore.mLeaving = true;
+  fixture.mContext.run_for(50ms);
+  CHECK(fixture.mListener.HasUndelivered());
+  CHECK(ReadAll(reader).find("served") != std::string::npos);
+  reader.close();
+  CHECK(fixture.RunUntilAnswered());
+  CHECK(ReadAll(other).find("served") != std::string::npos);
+}
+
+// Guards against requests that were read behind another one and end with their connection
+// (LOST): the answer to the first said that the connection closes.
+TEST_CASE("pipelined requests that arrived before the answer to the first are answered")
+{
+  Fixture fixture;
+  Tcp::socket caller = fixture.Connect();
+  fixture.mCore.mLeaving = true;
+  Send(caller, std::string(kRequest) + kRequest + kRequest);
+  fixture.mListener.StopAccepting();
+  CHECK(fixture.RunUntilAnswered());
+  std::string received = ReadAll(caller);
+  std::size_t answers = 0;
+  for (std::size_t at = 0; (at = received.find("served", at)) != std::string::npos;
+       ++at) {
+    ++answers;
+  }
+  CHECK(answers == 3);
+}
+
 TEST_CASE("a request that has arrived in part is awaited and answered")
 {
   Fixture fixture;
@@ -132,7 +169,7 @@
   Send(caller, kRequest);
   fixture.mContext.run_for(50ms);
   fixture.mListener.StopAccepting();
-  CHECK_FALSE(fixture.mListener.HasUnanswered());
+  CHECK_FALSE(fixture.mListener.HasUndelivered());
   CHECK(fixture.RunUntilAnswered());
   CHECK(ReadAll(caller).find("served") != std::string::npos);
 }
--- a/tests/unit/entry_stop.cc
+++ b/tests/unit/entry_stop.cc
@@ -56,13 +56,14 @@
   }
 
   // Registers the silent server with one slot.
-  void RegisterServer()
+  void RegisterServer() { RegisterServer(mSilentServer.Address()); }
+  void RegisterServer(const base::HostPort& aAddress)
   {
     decide::Registration registration;
     registration.mId = "i-1";
     registration.mService = "s";
     registration.mDataCentre = "d1";
-    registration.mAddress = mSilentServer.Address();
+    registration.mAddress = aAddress;
     registration.mSlots = 1;
     mCore.mFleet.Register(registration, mClock.Now());
   }
@@ -199,32 +200,102 @@
   CHECK(IsTrueRefusal(OutcomeInStop(instance, pipeline, "/shop")));
 }
 
+// Guards against requests that end with the process (LOST) while a server's address does
+// not answer: the wait for a connection lasted beyond the end of the stop.
+TEST_CASE("requests that wait for a connection to a server are refused before the end")
+{
+  StoppingInstance instance;
+  Pipeline pipeline(
+    instance.mCore, instance.mAdmission, instance.mBackend, &instance.mDirect);
+  Tcp::acceptor full(instance.mContext,
+                     Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  full.listen(0);
+  std::vector<Tcp::socket> queued;
+  for (int i = 0; i < 4; ++i) {
+    queued.emplace_back(instance.mContext);
+    queued.back().async_connect(full.local_endpoint(), [](boost::system::error_code) {});
+  }
+  instance.mContext.run_for(10ms);
+  instance.RegisterServer({ "127.0.0.1", full.local_endpoint().port() });
+  instance.mCore.mStop.Begin(instance.mClock.Now() + kStopTime);
+  instance.mClock.Advance(kStopTime - 250ms);
+  std::optional<decide::Outcome> connecting;
+  instance.Serve(pipeline, "/open", connecting);
+  REQUIRE_FALSE(connecting);
+  instance.mClock.Advance(60ms);
+  instance.mCore.EndOverdueWaits();
+  instance.mContext.run_for(20ms);
+  CHECK(IsTrueRefusal(connecting));
+}
+
+// Listens at an address with a handler that returns after a time of the I/O context.
+struct SlowListener
+{
+  Listener mListener;
+  Tcp::endpoint mAt;
+
+  SlowListener(StoppingInstance& aInstance, Duration aHandlerTime)
+    : mListener(aInstance.mCore, aInstance.mFormat)
+  {
+    Tcp::endpoint anyPort(asio::ip::address_v4::loopback(), 0);
+    mAt = Tcp::acceptor(aInstance.mContext, anyPort).local_endpoint();
+    mListener.Open({ "127.0.0.1", mAt.port() },
+                   [&core = aInstance.mCore, aHandlerTime](
+                     net::Request, CallerConnection&) -> Awaitable<net::Response> {
+                     co_await core.Sleep(aHandlerTime);
+                     co_return net::Response(boost::beast::http::status::ok,
+                                             net::kHttp11);
+                   });
+  }
+};
+
+std::string ReadAll(Tcp::socket& aCaller)
+{
+  std::string received;
+  boost::system::error_code error;
+  asio::read(aCaller, asio::dynamic_buffer(received), error);
+  return received;
+}
+
+// Guards against requests that end with the process (LOST) in a wait that no limit of the
+// stop ends: their callers still get an answer, and one only.
+TEST_CASE("a request whose handler does not return gets an answer at the end of a stop")
+{
+  StoppingInstance instance;
+  SlowListener slow(instance, 200ms);
+  Tcp::socket caller(instance.mContext);
+  caller.connect(slow.mAt);
+  asio::write(caller, asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+  instance.mContext.run_for(50ms);
+  instance.mCore.mStop.Begin(instance.mClock.Now());
+  slow.mListener.AnswerUnhandled();
+  slow.mListener.AnswerUnhandled();
+  instance.mContext.run_for(50ms);
+  REQUIRE(caller.available() > 0);
+  instance.mContext.run_for(1s); // the handler returns and the caller does not close
+  CHECK_FALSE(slow.mListener.HasUndelivered());
+  std::string received = ReadAll(caller);
+  CHECK(received.starts_with("HTTP/1.1 504 "));
+  CHECK(received.find("HTTP/1.1 200 ") == std::string::npos);
+}
+
 // Guards against the end of a request that has arrived in part without a word.
 TEST_CASE("a request that arrives in part in a stop is refused before its end")
 {
   StoppingInstance instance;
-  Listener listener(instance.mCore, instance.mFormat);
-  Tcp::endpoint anyPort(asio::ip::address_v4::loopback(), 0);
-  Tcp::endpoint at = Tcp::acceptor(instance.mContext, anyPort).local_endpoint();
-  listener.Open({ "127.0.0.1", at.port() },
-                [](net::Request, CallerConnection&) -> Awaitable<net::Response> {
-                  co_return net::Response(boost::beast::http::status::ok, net::kHttp11);
-                });
+  SlowListener slow(instance, 0s);
   Tcp::socket caller(instance.mContext);
-  caller.connect(at);
+  caller.connect(slow.mAt);
   Tcp::socket idle(instance.mContext);
-  idle.connect(at);
+  idle.connect(slow.mAt);
   std::string half = "POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nab";
   asio::write(caller, asio::buffer(half));
   instance.mContext.run_for(50ms);
   auto answered = [&] { return caller.available() > 0; };
   CHECK(instance.StopUntil(answered));
-  listener.CloseIdle();
+  slow.mListener.CloseIdle();
   instance.mContext.run_for(50ms);
-  std::string received;
-  boost::system::error_code error;
-  asio::read(caller, asio::dynamic_buffer(received), error);
-  CHECK(received.starts_with("HTTP/1.1 503 "));
+  CHECK(ReadAll(caller).starts_with("HTTP/1.1 503 "));
   CHECK(idle.available() == 0);
 }
 
@@ -251,7 +322,7 @@
     [&](std::exception_ptr, peer::wire::ForwardReply aReply) { reply = aReply; });
   instance.mContext.run_for(20ms);
   REQUIRE_FALSE(reply);
-  CHECK(instance.mCore.mRequestsInFlight == 1);
+  CHECK(instance.mCore.mHeld.All().size() == 1);
   CHECK(instance.StopUntil([&] { return reply.has_value(); }));
-  CHECK(instance.mCore.mRequestsInFlight == 0);
+  CHECK(instance.mCore.mHeld.All().empty());
 }
--- a/tools/site.sh
+++ b/tools/site.sh
@@ -28,9 +28,9 @@
 }
 
 start_instance() { # NAME
-  start "$1" "$BUILD/src/vanillaloftd" --data-centre "${CENTRE[$1]}" --listen "${ENTRY[$1]}" \
+  start "$1" "${PROGRAM:-$BUILD/src/vanillaloftd}" --data-centre "${CENTRE[$1]}" --listen "${ENTRY[$1]}" \
     --peer-listen "${PEER[$1]}" --admin-listen "${ADMIN[$1]}" --store "$STORE" \
-    --ticket-ttl-ms "${TICKET_TTL_MS:-4000}" --stop-timeout-ms 20000 --request-timeout-ms "${REQUEST_TIMEOUT_MS:-10000}"
+    --ticket-ttl-ms "${TICKET_TTL_MS:-4000}" --stop-timeout-ms "${STOP_TIMEOUT_MS:-20000}" --request-timeout-ms "${REQUEST_TIMEOUT_MS:-10000}"
 }
 
 start_backend() { # NAME PORT SERVICE-TIME-MS
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -86,6 +86,10 @@
   echo "== processes"
   checks tools/process.sh
 fi
+if [ -x tools/stops.sh ]; then
+  echo "== planned stops"
+  checks tools/stops.sh
+fi
 if [ -x tools/memory.sh ]; then
   echo "== memory"
   checks tools/memory.sh
