--- a/src/daemon/instance.cc
+++ b/src/daemon/instance.cc
@@ -1,5 +1,6 @@
 #include "daemon/instance.h"
 
+#include <algorithm>
 #include <csignal>
 #include <random>
 #include <thread>
@@ -15,6 +16,8 @@
 namespace {
 
 constexpr std::size_t kSecretBytes = 32;
+// Longest time for the last replies to peers. One that is frozen does not take them.
+constexpr Duration kPeerCloseTime = std::chrono::milliseconds(100);
 
 std::string RandomSecret()
 {
@@ -122,8 +125,10 @@
   std::thread closer;
   auto onStopped = [&](const std::exception_ptr&) {
     Duration left = mCore.mStop.Left(decide::StopWait::Delivery, mCore.Now());
-    closer = std::thread([this, left] {
-      mPeerServer.Close(std::chrono::floor<std::chrono::milliseconds>(left));
+    auto time = std::chrono::floor<std::chrono::milliseconds>(
+      std::min<Duration>(left, kPeerCloseTime));
+    closer = std::thread([this, time] {
+      mPeerServer.Close(time);
       mContext.stop();
     });
   };
--- a/tests/unit/peer.cc
+++ b/tests/unit/peer.cc
@@ -206,6 +206,28 @@
   CHECK(mayHaveArrived);
 }
 
+// Guards against a row of calls to peers, such as questions to one frozen holder of
+// tokens after the other, that goes on after a stop has cancelled the first.
+TEST_CASE("calls that begin after the end of calls are not sent")
+{
+  boost::asio::io_context context;
+  TestHandler handler;
+  peer::Client client(context);
+  peer::Server server(context, handler, kAddress);
+  wire::TokenRequest token;
+  token.set_micro_tokens(1);
+  REQUIRE(
+    test::RunCoroutine(context, AskTokenWhenConnected(context, client, token)).given());
+  client.EndCalls();
+  bool mayHaveArrived = true;
+  try {
+    test::RunCoroutine(context, client.Forward(kAddress, {}, 2000ms));
+  } catch (const peer::PeerError& error) {
+    mayHaveArrived = error.MayHaveArrived();
+  }
+  CHECK_FALSE(mayHaveArrived);
+}
+
 TEST_CASE("an address cannot be bound twice")
 {
   boost::asio::io_context context;
