--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -55,11 +55,11 @@
   virtual Awaitable<wire::ForwardReply> OnForward(wire::ForwardRequest aRequest) = 0;
 };
 
-// Server for the calls of peers. The address is bound exclusively, so a successful bind
-// proves that the previous process at the address has ended.
 // Longest time for the calls in flight when a server closes.
 constexpr std::chrono::milliseconds kShutdownTimeout{ 1000 };
 
+// Server for the calls of peers. The address is bound exclusively, so a successful bind
+// proves that the previous process at the address has ended.
 class Server
 {
 public:
