Tests: enough lines for the check that dropped log lines are counted

It had passed before.

Cause: the check needs lines beyond the pipe (64 KiB) and the queue (256 KiB), about 1210 of them. Its 3600 look-ups spread over the instances of the data centre, so only 1293 to 1396 requests reached the one whose log is unread (five runs, 84 to 187 lines dropped). Where fewer reach it, nothing is dropped and there is nothing to count: with 330 requests a second 1147 reached it, 0 lines were dropped, and the check failed.

Ruled out: the product's count (dropped = requests - 1210 in each run); the load of the machine alone (16 busy processes: 171 dropped).

Change: 700 requests a second in place of 400: 2372 reach it, 1170 are dropped. The check and its bound are the same, and the instance serves more meanwhile; a failure now prints the counts.

--- a/tools/process.sh
+++ b/tools/process.sh
@@ -236,12 +236,13 @@
 unread_answers() { curl -s -m 2 -H "$KEY" "http://${UNREAD[entry]}/stock/x" | grep -q answer; }
 await 20 unread_answers
 "$BUILD/tests/load" --entries "${UNREAD[entry]}" --key demo-key-of-grocer --service stock --path /stock/y \
-  --order-path /reorders --rate 400 --seconds 9 --orders-percent 0 >"$LOGS/unread.txt"
+  --order-path /reorders --rate 700 --seconds 9 --orders-percent 0 >"$LOGS/unread.txt"
 await 5 unread_answers
 verdict serves-while-its-log-is-not-read $? "$(cat "$LOGS/unread.txt")"
 dropped() { curl -s "http://${UNREAD[admin]}/metrics" | grep -qE '^vanillaloft_log_lines_dropped [1-9]'; }
 await 5 dropped
-verdict dropped-lines-are-counted $?
+verdict dropped-lines-are-counted $? \
+  "$(curl -s -m 2 "http://${UNREAD[admin]}/metrics" | grep -E '^vanillaloft_(requests_total|log_lines_dropped)')"
 kill -TERM $unread
 (sleep 15 && kill -KILL $unread) & # after its accept period of 6.5 s
 late=$!
