--- a/src/daemon/stop.cc
+++ b/src/daemon/stop.cc
@@ -25,11 +25,7 @@
   try {
     aStep();
   } catch (const std::exception& error) {
-    Log(spdlog::level::err,
-        Event::TaskFailed,
-        "task={} cause={}",
-        aName,
-        base::Printable(error.what()));
+    entry::LogTaskFailure(aName, error);
   }
 }
 
--- a/src/entry/background.cc
+++ b/src/entry/background.cc
@@ -17,21 +17,12 @@
 
 constexpr std::chrono::milliseconds kRestartDelay{ 200 };
 
-void LogFailure(const std::string& aName, const std::exception& aError)
-{
-  base::Log(spdlog::level::err,
-            base::Event::TaskFailed,
-            "task={} cause={}",
-            aName,
-            base::Printable(aError.what()));
-}
-
 asio::awaitable<void> RunLogged(std::string aName, asio::awaitable<void> aTask)
 {
   try {
     co_await std::move(aTask);
   } catch (const std::exception& error) {
-    LogFailure(aName, error);
+    LogTaskFailure(aName, error);
   }
 }
 
@@ -44,7 +35,7 @@
       co_await aLoop();
       co_return;
     } catch (const std::exception& error) {
-      LogFailure(aName, error);
+      LogTaskFailure(aName, error);
     }
     asio::steady_timer timer(aContext, kRestartDelay);
     co_await timer.async_wait(asio::use_awaitable);
@@ -53,6 +44,15 @@
 
 } // namespace
 
+void LogTaskFailure(const std::string& aName, const std::exception& aError)
+{
+  base::Log(spdlog::level::err,
+            base::Event::TaskFailed,
+            "task={} cause={}",
+            aName,
+            base::Printable(aError.what()));
+}
+
 void Spawn(asio::io_context& aContext, std::string aName, asio::awaitable<void> aTask)
 {
   asio::co_spawn(aContext, RunLogged(std::move(aName), std::move(aTask)), asio::detached);
--- a/src/entry/background.h
+++ b/src/entry/background.h
@@ -1,6 +1,7 @@
 // Background tasks: coroutines that no caller waits for.
 #pragma once
 
+#include <exception>
 #include <functional>
 #include <string>
 
@@ -9,6 +10,9 @@
 
 namespace vanillaloft::entry {
 
+// Logs an unexpected error that ended a task or a step of one.
+void LogTaskFailure(const std::string& aName, const std::exception& aError);
+
 // Starts a task. An unexpected error ends the task and is logged.
 void Spawn(boost::asio::io_context& aContext,
            std::string aName,
--- a/tests/unit/canned.h
+++ b/tests/unit/canned.h
@@ -9,6 +9,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -149,4 +150,14 @@
   return result;
 }
 
+// Returns all that a caller receives up to the end of its connection, or the error that
+// ended it.
+inline std::string ReadAll(boost::asio::ip::tcp::socket& aCaller)
+{
+  std::string received;
+  boost::system::error_code error;
+  boost::asio::read(aCaller, boost::asio::dynamic_buffer(received), error);
+  return error == boost::asio::error::eof ? received : "failed: " + error.message();
+}
+
 } // namespace vanillaloft::test
--- a/tests/unit/entry_listener.cc
+++ b/tests/unit/entry_listener.cc
@@ -1,7 +1,6 @@
 // Unit tests of the listening sockets and connections of an instance.
 #include <doctest/doctest.h>
 
-#include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -74,15 +73,6 @@
   asio::write(aCaller, asio::buffer(aText));
 }
 
-// Returns all that the caller receives up to the end of its connection.
-std::string ReadAll(Tcp::socket& aCaller)
-{
-  std::string received;
-  boost::system::error_code error;
-  asio::read(aCaller, asio::dynamic_buffer(received), error);
-  return error == asio::error::eof ? received : "failed: " + error.message();
-}
-
 } // namespace
 
 // Guards against a planned stop that cuts off requests which have just arrived.
@@ -94,7 +84,7 @@
   fixture.mCore.mLeaving = true;
   fixture.mListener.StopAccepting();
   CHECK(fixture.RunUntilAnswered());
-  CHECK(ReadAll(caller).find("served") != std::string::npos);
+  CHECK(test::ReadAll(caller).find("served") != std::string::npos);
 }
 
 TEST_CASE("a connection accepted just before the stop may still send its request")
@@ -108,7 +98,7 @@
   asio::steady_timer timer(fixture.mContext, 100ms);
   timer.async_wait([&](boost::system::error_code) { Send(caller, kRequest); });
   CHECK(fixture.RunUntilAnswered());
-  CHECK(ReadAll(caller).find("served") != std::string::npos);
+  CHECK(test::ReadAll(caller).find("served") != std::string::npos);
 }
 
 // Guards against an end of the process that resets a connection whose caller has not read
@@ -123,10 +113,10 @@
   fixture.mCore.mLeaving = true;
   fixture.mContext.run_for(50ms);
   CHECK(fixture.mListener.HasUndelivered());
-  CHECK(ReadAll(reader).find("served") != std::string::npos);
+  CHECK(test::ReadAll(reader).find("served") != std::string::npos);
   reader.close();
   CHECK(fixture.RunUntilAnswered());
-  CHECK(ReadAll(other).find("served") != std::string::npos);
+  CHECK(test::ReadAll(other).find("served") != std::string::npos);
 }
 
 // Guards against requests that were read behind another one and end with their connection
@@ -139,7 +129,7 @@
   Send(caller, std::string(kRequest) + kRequest + kRequest);
   fixture.mListener.StopAccepting();
   CHECK(fixture.RunUntilAnswered());
-  std::string received = ReadAll(caller);
+  std::string received = test::ReadAll(caller);
   std::size_t answers = 0;
   for (std::size_t at = 0; (at = received.find("served", at)) != std::string::npos;
        ++at) {
@@ -159,7 +149,7 @@
   asio::steady_timer timer(fixture.mContext, 600ms);
   timer.async_wait([&](boost::system::error_code) { Send(caller, "\r\n\r\n"); });
   CHECK(fixture.RunUntilAnswered());
-  CHECK(ReadAll(caller).find("served") != std::string::npos);
+  CHECK(test::ReadAll(caller).find("served") != std::string::npos);
 }
 
 TEST_CASE("idle connections do not delay a stop and are closed at its end")
@@ -171,7 +161,7 @@
   fixture.mListener.StopAccepting();
   CHECK_FALSE(fixture.mListener.HasUndelivered());
   CHECK(fixture.RunUntilAnswered());
-  CHECK(ReadAll(caller).find("served") != std::string::npos);
+  CHECK(test::ReadAll(caller).find("served") != std::string::npos);
 }
 
 // Guards against a refusal that is lost because the connection is reset: the caller is
@@ -272,7 +262,7 @@
     Send(caller, "GET / HTTP/1.1\r\nX-Long: " + std::string(6000, 'x') + "\r\n\r\n");
   }
   CHECK(fixture.RunUntilAnswered());
-  std::string received = ReadAll(caller);
+  std::string received = test::ReadAll(caller);
   std::size_t from = 0;
   for (int i = 1; i <= 5; ++i) {
     from = received.find("slow " + std::to_string(i) + ";", from);
@@ -289,7 +279,7 @@
   Send(caller, kRequest);
   caller.shutdown(Tcp::socket::shutdown_send);
   CHECK(fixture.RunUntilAnswered());
-  CHECK(ReadAll(caller).find("slow 1;") != std::string::npos);
+  CHECK(test::ReadAll(caller).find("slow 1;") != std::string::npos);
 }
 
 // Guards against an exception behind the choice of a server: the library refuses to send
@@ -302,7 +292,7 @@
     Tcp::socket caller = fixture.Connect();
     Send(caller, std::string("TRACE / HTTP/1.1\r\n") + body);
     CHECK(fixture.RunUntilAnswered());
-    CHECK(ReadAll(caller).starts_with("HTTP/1.1 405 "));
+    CHECK(test::ReadAll(caller).starts_with("HTTP/1.1 405 "));
     CHECK(fixture.mSlow.mCalls == 0);
   }
 }
--- a/tests/unit/entry_stop.cc
+++ b/tests/unit/entry_stop.cc
@@ -1,7 +1,6 @@
 // Unit tests of what requests get that an instance holds when a planned stop begins.
 #include <doctest/doctest.h>
 
-#include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include "base/clock.h"
@@ -249,14 +248,6 @@
   }
 };
 
-std::string ReadAll(Tcp::socket& aCaller)
-{
-  std::string received;
-  boost::system::error_code error;
-  asio::read(aCaller, asio::dynamic_buffer(received), error);
-  return received;
-}
-
 // Guards against requests that end with the process (LOST) in a wait that no limit of the
 // stop ends: their callers still get an answer, and one only.
 TEST_CASE("a request whose handler does not return gets an answer at the end of a stop")
@@ -274,7 +265,7 @@
   REQUIRE(caller.available() > 0);
   instance.mContext.run_for(1s); // the handler returns and the caller does not close
   CHECK_FALSE(slow.mListener.HasUndelivered());
-  std::string received = ReadAll(caller);
+  std::string received = test::ReadAll(caller);
   CHECK(received.starts_with("HTTP/1.1 504 "));
   CHECK(received.find("HTTP/1.1 200 ") == std::string::npos);
 }
@@ -295,7 +286,7 @@
   CHECK(instance.StopUntil(answered));
   slow.mListener.CloseIdle();
   instance.mContext.run_for(50ms);
-  CHECK(ReadAll(caller).starts_with("HTTP/1.1 503 "));
+  CHECK(test::ReadAll(caller).starts_with("HTTP/1.1 503 "));
   CHECK(idle.available() == 0);
 }
 
--- a/tests/unit/peer.cc
+++ b/tests/unit/peer.cc
@@ -2,6 +2,7 @@
 #include <doctest/doctest.h>
 
 #include <array>
+#include <optional>
 #include <thread>
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -153,6 +154,19 @@
   return false;
 }
 
+// What the error of a call says of its arrival; nothing if the call succeeds.
+template<typename Reply>
+std::optional<bool> FailureMayHaveArrived(boost::asio::io_context& aContext,
+                                          boost::asio::awaitable<Reply> aCall)
+{
+  try {
+    test::RunCoroutine(aContext, std::move(aCall));
+  } catch (const peer::PeerError& error) {
+    return error.MayHaveArrived();
+  }
+  return std::nullopt;
+}
+
 } // namespace
 
 // Guards against an instance that believes itself alone, and refuses for lack of tokens:
@@ -174,13 +188,8 @@
 {
   boost::asio::io_context context;
   peer::Client client(context);
-  bool mayHaveArrived = true;
-  try {
-    test::RunCoroutine(context, client.Forward("127.0.0.1:1", {}, 500ms));
-  } catch (const peer::PeerError& error) {
-    mayHaveArrived = error.MayHaveArrived();
-  }
-  CHECK_FALSE(mayHaveArrived);
+  CHECK(FailureMayHaveArrived(context, client.Forward("127.0.0.1:1", {}, 500ms)) ==
+        false);
 }
 
 TEST_CASE("calls reach the handler, and an exception in it reports MayHaveArrived")
@@ -197,13 +206,7 @@
   forward.set_body("order");
   CHECK(test::RunCoroutine(context, client.Forward(kAddress, forward, 2000ms)).body() ==
         "order");
-  bool mayHaveArrived = false;
-  try {
-    test::RunCoroutine(context, client.FetchConfig(kAddress, {}, 2000ms));
-  } catch (const peer::PeerError& error) {
-    mayHaveArrived = error.MayHaveArrived();
-  }
-  CHECK(mayHaveArrived);
+  CHECK(FailureMayHaveArrived(context, client.FetchConfig(kAddress, {}, 2000ms)) == true);
 }
 
 // Guards against a row of calls to peers, such as questions to one frozen holder of
@@ -219,13 +222,7 @@
   REQUIRE(
     test::RunCoroutine(context, AskTokenWhenConnected(context, client, token)).given());
   client.EndCalls();
-  bool mayHaveArrived = true;
-  try {
-    test::RunCoroutine(context, client.Forward(kAddress, {}, 2000ms));
-  } catch (const peer::PeerError& error) {
-    mayHaveArrived = error.MayHaveArrived();
-  }
-  CHECK_FALSE(mayHaveArrived);
+  CHECK(FailureMayHaveArrived(context, client.Forward(kAddress, {}, 2000ms)) == false);
 }
 
 TEST_CASE("an address cannot be bound twice")
